Add the design, the shared core packages and the checks

Cause: nothing exists yet; every later part needs the result codes, the clock, the store interface and the policy bundle, and one page that states the invariants and the ownership rules. Conclusion: the parts can be built side by side against these interfaces.

--- /dev/null
+++ b/core/policy/policy.go
@@ -0,0 +1,346 @@
+// Package policy holds the versioned bundle of policy that operators roll out:
+// teams, keys, shares, upper limits, data centres in service and queues.
+//
+// # Usage
+//
+// Operators write a Document in JSON, sign it and publish the Signed form.
+// Every VM verifies the signatures and compiles it:
+//
+//	b, err := policy.Open(raw, approvers)
+//	q, err := b.Queue("reprints")
+//	team, key, err := b.Authorize(q, secret)
+//
+// A Bundle does not change once compiled; a new version is a new Bundle.
+package policy
+
+import (
+	"crypto/ed25519"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/rcode"
+)
+
+// Signed is a document with the signatures of its approvers. The signatures
+// cover the exact bytes of Bundle.
+type Signed struct {
+	Bundle     []byte      `json:"bundle"`
+	Signatures []Signature `json:"signatures"`
+}
+
+// Signature is one approver's signature.
+type Signature struct {
+	Approver string `json:"approver"`
+	Value    []byte `json:"value"`
+}
+
+// Approvers are the public keys that a VM accepts, by name, and how many of
+// them must have signed. They come from the VM's settings: a bundle that named
+// its own approvers could be signed by a stranger.
+type Approvers struct {
+	keys map[string]ed25519.PublicKey
+	need int
+}
+
+// NewApprovers parses "name=base64,name=base64".
+func NewApprovers(list string, need int) (Approvers, error) {
+	a := Approvers{keys: map[string]ed25519.PublicKey{}, need: need}
+	for _, part := range strings.Split(list, ",") {
+		name, enc, ok := strings.Cut(strings.TrimSpace(part), "=")
+		key, err := base64.StdEncoding.DecodeString(enc)
+		if !ok || err != nil || len(key) != ed25519.PublicKeySize {
+			return a, rcode.New(rcode.SettingInvalid, "policy.NewApprovers: %q is not name=base64 of a public key", part)
+		}
+		a.keys[name] = key
+	}
+	if need < 1 || need > len(a.keys) {
+		return a, rcode.New(rcode.SettingInvalid, "policy.NewApprovers: %d approvals of %d approvers", need, len(a.keys))
+	}
+	return a, nil
+}
+
+// signContext separates these signatures from any other use of the same key.
+const signContext = "limpethitch bundle v1\n"
+
+// Sign adds an approver's signature to s.
+func (s *Signed) Sign(approver string, key ed25519.PrivateKey) {
+	value := ed25519.Sign(key, append([]byte(signContext), s.Bundle...))
+	s.Signatures = append(s.Signatures, Signature{Approver: approver, Value: value})
+}
+
+// Verify reports an error unless enough different approvers have signed.
+func (s *Signed) Verify(a Approvers) error {
+	msg := append([]byte(signContext), s.Bundle...)
+	valid := map[string]bool{}
+	for _, sig := range s.Signatures {
+		key, ok := a.keys[sig.Approver]
+		if !ok || !ed25519.Verify(key, msg, sig.Value) {
+			return rcode.New(rcode.BundleUnsigned, "policy.Verify: signature of %q is not valid", sig.Approver)
+		}
+		valid[sig.Approver] = true
+	}
+	if len(valid) < a.need {
+		return rcode.New(rcode.BundleUnsigned, "policy.Verify: %d of %d approvals", len(valid), a.need)
+	}
+	return nil
+}
+
+// Team is a compiled team.
+type Team struct {
+	name  string
+	share int64
+	limit amount.Vec
+}
+
+// Name returns the team's name.
+func (t Team) Name() string { return t.name }
+
+// Share returns the weight of the team when the cell is full.
+func (t Team) Share() int64 { return t.share }
+
+// Limit returns the team's upper limit on what runs at once across the fleet.
+func (t Team) Limit() amount.Vec { return t.limit }
+
+// Queue is a compiled queue.
+type Queue struct {
+	doc   QueueDoc
+	teams map[string]bool
+}
+
+// Name returns the queue's name.
+func (q Queue) Name() string { return q.doc.Name }
+
+// Class returns how the queue's work is treated.
+func (q Queue) Class() Class { return q.doc.Class }
+
+// Service returns the service that answers an interactive queue.
+func (q Queue) Service() string { return q.doc.Service }
+
+// Open reports whether the queue takes work without a key.
+func (q Queue) Open() bool { return q.doc.Open }
+
+// MaxWaiting returns how many requests of one team may wait.
+func (q Queue) MaxWaiting() int { return q.doc.MaxWaiting }
+
+// MaxBody returns the largest body in bytes.
+func (q Queue) MaxBody() int { return q.doc.MaxBody }
+
+type keyEntry struct {
+	team    string
+	salt    []byte
+	hash    [sha256.Size]byte
+	revoked bool
+}
+
+// Bundle is a compiled, immutable bundle.
+type Bundle struct {
+	raw     []byte
+	doc     *Document
+	teams   map[string]Team
+	queues  map[string]Queue
+	keys    map[string]keyEntry
+	service map[string]bool
+}
+
+// Open decodes a Signed value, verifies and compiles it.
+func Open(raw []byte, a Approvers) (*Bundle, error) {
+	var s Signed
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return nil, rcode.Wrap(err, rcode.BundleInvalid, "policy.Open")
+	}
+	if err := s.Verify(a); err != nil {
+		return nil, err
+	}
+	b, err := Compile(s.Bundle)
+	if err != nil {
+		return nil, err
+	}
+	b.raw = append([]byte(nil), raw...)
+	return b, nil
+}
+
+// Compile checks a document and builds its indexes.
+func Compile(doc []byte) (*Bundle, error) {
+	d, err := Decode(doc)
+	if err != nil {
+		return nil, err
+	}
+	d.Defaults()
+	if faults := d.Check(); len(faults) > 0 {
+		lines := make([]string, 0, len(faults))
+		for _, f := range faults {
+			lines = append(lines, f.String())
+		}
+		return nil, rcode.New(rcode.BundleInvalid, "policy.Compile: %s", strings.Join(lines, "; "))
+	}
+	b := &Bundle{
+		doc: d, teams: map[string]Team{}, queues: map[string]Queue{},
+		keys: map[string]keyEntry{}, service: map[string]bool{},
+	}
+	for _, dc := range d.DataCentres {
+		b.service[dc.Name] = dc.InService
+	}
+	for _, t := range d.Teams {
+		if err := b.addTeam(t); err != nil {
+			return nil, err
+		}
+	}
+	for _, q := range d.Queues {
+		teams := map[string]bool{}
+		for _, t := range q.Teams {
+			teams[t] = true
+		}
+		b.queues[q.Name] = Queue{doc: q, teams: teams}
+	}
+	return b, nil
+}
+
+func (b *Bundle) addTeam(t TeamDoc) error {
+	l := t.Limit
+	b.teams[t.Name] = Team{name: t.Name, share: t.Share, limit: amount.New(l.CPUMilli, l.MemoryMiB, l.Accelerators, l.Requests)}
+	for _, k := range t.Keys {
+		salt, err := hex.DecodeString(k.Salt)
+		if err != nil {
+			return rcode.Wrap(err, rcode.BundleInvalid, "policy.Compile: key %s: salt", k.ID)
+		}
+		hash, err := hex.DecodeString(k.Hash)
+		if err != nil {
+			return rcode.Wrap(err, rcode.BundleInvalid, "policy.Compile: key %s: hash", k.ID)
+		}
+		e := keyEntry{team: t.Name, salt: salt, revoked: k.Revoked}
+		copy(e.hash[:], hash)
+		b.keys[k.ID] = e
+	}
+	return nil
+}
+
+// Version returns the bundle's version.
+func (b *Bundle) Version() int64 { return b.doc.Version }
+
+// Author returns who wrote the bundle.
+func (b *Bundle) Author() string { return b.doc.Author }
+
+// Raw returns the signed form that peers verify; nil for a bundle compiled
+// from a bare document.
+func (b *Bundle) Raw() []byte { return b.raw }
+
+// Blind returns how long keyed work may go on without a confirmation that the
+// policy is current.
+func (b *Bundle) Blind() time.Duration { return time.Duration(b.doc.BlindMS) * time.Millisecond }
+
+// BlindOpen returns the same for open queues.
+func (b *Bundle) BlindOpen() time.Duration {
+	return time.Duration(b.doc.BlindOpenMS) * time.Millisecond
+}
+
+// InService reports whether operators have the data centre in service.
+func (b *Bundle) InService(dc string) bool { return b.service[dc] }
+
+// DataCentres returns the names of all data centres in the bundle's order.
+func (b *Bundle) DataCentres() []string {
+	out := make([]string, 0, len(b.doc.DataCentres))
+	for _, dc := range b.doc.DataCentres {
+		out = append(out, dc.Name)
+	}
+	return out
+}
+
+// Teams returns all teams in the bundle's order.
+func (b *Bundle) Teams() []Team {
+	out := make([]Team, 0, len(b.doc.Teams))
+	for _, t := range b.doc.Teams {
+		out = append(out, b.teams[t.Name])
+	}
+	return out
+}
+
+// Team returns a team by name.
+func (b *Bundle) Team(name string) (Team, bool) {
+	t, ok := b.teams[name]
+	return t, ok
+}
+
+// Queues returns all queues in the bundle's order.
+func (b *Bundle) Queues() []Queue {
+	out := make([]Queue, 0, len(b.doc.Queues))
+	for _, q := range b.doc.Queues {
+		out = append(out, b.queues[q.Name])
+	}
+	return out
+}
+
+// Queue returns a queue by name.
+func (b *Bundle) Queue(name string) (Queue, error) {
+	q, ok := b.queues[name]
+	if !ok {
+		return q, rcode.New(rcode.QueueUnknown, "queue %q is not in bundle version %d", name, b.Version())
+	}
+	return q, nil
+}
+
+// Grant is the right under which a piece of work was accepted. It is checked
+// again right before the work starts, so that a revoked key stops queued work.
+type Grant struct {
+	team, key string
+}
+
+// NewGrant rebuilds a grant that was kept with a job.
+func NewGrant(team, key string) Grant { return Grant{team: team, key: key} }
+
+// Team returns the team that the work counts for.
+func (g Grant) Team() string { return g.team }
+
+// Key returns the id of the key; empty for open queues.
+func (g Grant) Key() string { return g.key }
+
+// Authorize checks a caller's secret, of the form KEYID.SECRET, for a queue.
+func (b *Bundle) Authorize(q Queue, secret string) (Grant, error) {
+	if q.Open() {
+		return Grant{team: q.doc.Team}, nil
+	}
+	if secret == "" {
+		return Grant{}, rcode.New(rcode.KeyMissing, "queue %q needs a key", q.Name())
+	}
+	id, part, _ := strings.Cut(secret, ".")
+	e, ok := b.keys[id]
+	if !ok || !e.matches(part) {
+		return Grant{}, rcode.New(rcode.KeyRefused, "the key is not known")
+	}
+	g := Grant{team: e.team, key: id}
+	return g, b.Recheck(q, g)
+}
+
+// Recheck reports an error when a grant no longer holds under this bundle.
+func (b *Bundle) Recheck(q Queue, g Grant) error {
+	if g.key == "" {
+		if q.Open() && q.doc.Team == g.team {
+			return nil
+		}
+		return rcode.New(rcode.KeyMissing, "queue %q is no longer open", q.Name())
+	}
+	e, ok := b.keys[g.key]
+	if !ok || e.revoked || e.team != g.team {
+		return rcode.New(rcode.KeyRefused, "key %q is revoked", g.key)
+	}
+	if len(q.teams) > 0 && !q.teams[g.team] {
+		return rcode.New(rcode.KeyRefused, "team %q may not use queue %q", g.team, q.Name())
+	}
+	return nil
+}
+
+func (e keyEntry) matches(secret string) bool {
+	h := HashKey(e.salt, secret)
+	return subtle.ConstantTimeCompare(h[:], e.hash[:]) == 1
+}
+
+// HashKey returns the hash that a bundle holds for a secret. Secrets are random
+// with 128 bits, so one round of SHA-256 suffices.
+func HashKey(salt []byte, secret string) [sha256.Size]byte {
+	return sha256.Sum256(append(append([]byte{}, salt...), secret...))
+}
--- /dev/null
+++ b/limctl/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
