Add placement for one shard owner

Change: entry/place with the complete API: workers, teams, jobs, running tasks, holds for gangs that span shards, decisions. Workers stand in a grid by free processors and memory, so a search has a bounded cost.

Conclusion: other parts can compile against the API.

--- /dev/null
+++ b/entry/place/config.go
@@ -0,0 +1,140 @@
+package place
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/rcode"
+)
+
+// Limiter keeps the exact ledger of upper limits. Reserve is called last before
+// a start is issued, Free when the task ended.
+type Limiter interface {
+	// Reserve charges v to team and reports whether the limit allows it.
+	Reserve(team string, v amount.Vec) bool
+	// Free returns what Reserve charged.
+	Free(team string, v amount.Vec)
+}
+
+// Default values of Config.
+const (
+	// DefaultCheckpointGrace and DefaultStopGrace together leave 2.8 s of the
+	// 6.8 s within which urgent work must start.
+	DefaultCheckpointGrace = 2500 * time.Millisecond
+	DefaultStopGrace       = 1500 * time.Millisecond
+	// DefaultThrottleGrace covers one report of usage, which lags by a second.
+	DefaultThrottleGrace = 2 * time.Second
+	DefaultOfferAfter    = 5 * time.Second
+	DefaultReserveAfter  = 2 * time.Second
+	// DefaultReserveFor bounds how long an overrunning task may keep a
+	// reservation waiting before another gang gets its turn.
+	DefaultReserveFor     = 60 * time.Second
+	DefaultQuarantineBase = 10 * time.Second
+	DefaultQuarantineMax  = 10 * time.Minute
+	DefaultRetryBase      = time.Second
+	DefaultMargin         = 1.15
+	DefaultMaxKinds       = 4096
+	DefaultMaxMembers     = 100_000
+	DefaultMaxReserved    = 4
+)
+
+// Config are the settings of a State.
+type Config struct {
+	// Limiter enforces upper limits; nil allows everything.
+	Limiter Limiter
+	// CellCapacity returns how many tasks of a size the whole cell, all shards
+	// together, holds when empty. Nil counts the workers of this shard only.
+	CellCapacity func(size amount.Vec) int
+	// Seed of the random source that spreads samples and jitter.
+	Seed uint64
+	// CheckpointGrace is how long a victim may take to checkpoint before it is
+	// stopped, StopGrace how long a stop may take.
+	CheckpointGrace, StopGrace, ThrottleGrace time.Duration
+	// OfferAfter is how long a job finds no room before it is offered to other
+	// shards; negative means never.
+	OfferAfter time.Duration
+	// ReserveAfter is how long a job finds no room before room is kept for it,
+	// ReserveFor how long past the planned time it is kept.
+	ReserveAfter, ReserveFor time.Duration
+	// QuarantineBase is the first backoff of a worker that fails different
+	// jobs in a row, QuarantineMax the longest.
+	QuarantineBase, QuarantineMax time.Duration
+	// RetryBase is the delay after the first failure of a task.
+	RetryBase time.Duration
+	// Margin multiplies the learned p95 of usage.
+	Margin float64
+	// MaxKinds bounds the estimates kept, MaxMembers the tasks of a job,
+	// MaxReserved the reservations at once.
+	MaxKinds, MaxMembers, MaxReserved int
+
+	// teamKey replaces the order of teams in comparisons of orderings.
+	teamKey func(s *State, t *team) float64
+}
+
+type unlimited struct{}
+
+func (unlimited) Reserve(string, amount.Vec) bool { return true }
+func (unlimited) Free(string, amount.Vec)         {}
+
+func orDuration(d *time.Duration, v time.Duration) {
+	if *d == 0 {
+		*d = v
+	}
+}
+
+func orInt(n *int, v int) {
+	if *n == 0 {
+		*n = v
+	}
+}
+
+// Defaults sets what the caller left out.
+func (c *Config) Defaults() {
+	if c.Limiter == nil {
+		c.Limiter = unlimited{}
+	}
+	orDuration(&c.CheckpointGrace, DefaultCheckpointGrace)
+	orDuration(&c.StopGrace, DefaultStopGrace)
+	orDuration(&c.ThrottleGrace, DefaultThrottleGrace)
+	orDuration(&c.OfferAfter, DefaultOfferAfter)
+	orDuration(&c.ReserveAfter, DefaultReserveAfter)
+	orDuration(&c.ReserveFor, DefaultReserveFor)
+	orDuration(&c.QuarantineBase, DefaultQuarantineBase)
+	orDuration(&c.QuarantineMax, DefaultQuarantineMax)
+	orDuration(&c.RetryBase, DefaultRetryBase)
+	if c.Margin == 0 {
+		c.Margin = DefaultMargin
+	}
+	orInt(&c.MaxKinds, DefaultMaxKinds)
+	orInt(&c.MaxMembers, DefaultMaxMembers)
+	orInt(&c.MaxReserved, DefaultMaxReserved)
+	if c.teamKey == nil {
+		c.teamKey = dominantShare
+	}
+}
+
+// Check returns all faults of the settings.
+func (c *Config) Check() []error {
+	var faults []error
+	require := func(ok bool, field string) {
+		if !ok {
+			faults = append(faults, rcode.New(rcode.SettingInvalid, "place.Config: %s is out of range", field))
+		}
+	}
+	require(c.Limiter != nil, "limiter")
+	require(c.CheckpointGrace > 0, "checkpoint grace")
+	require(c.StopGrace > 0, "stop grace")
+	require(c.ThrottleGrace > 0, "throttle grace")
+	require(c.ReserveAfter > 0, "reserve after")
+	require(c.ReserveFor > 0, "reserve for")
+	require(c.QuarantineBase > 0 && c.QuarantineBase <= c.QuarantineMax, "quarantine base")
+	require(c.RetryBase > 0, "retry base")
+	require(c.Margin >= 1 && c.Margin <= 4, "margin")
+	require(c.MaxKinds > 0, "max kinds")
+	require(c.MaxMembers > 0, "max members")
+	require(c.MaxReserved > 0, "max reserved")
+	return faults
+}
+
+func (c *Config) source() *rand.Rand { return rand.New(rand.NewPCG(c.Seed, 0x6c696d706574)) }
--- /dev/null
+++ b/entry/place/index.go
@@ -0,0 +1,221 @@
+package place
+
+import (
+	"math/bits"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+)
+
+const (
+	gridSide = 32
+	// maxMisfits bounds the workers that a search looks at in vain; reaching
+	// it makes the search inconclusive, and the next one starts elsewhere.
+	maxMisfits = 256
+	// maxFits bounds the candidates compared. More did not pack better in the
+	// comparison test.
+	maxFits      = 24
+	fitsPerCell  = 3
+	cellsPerRow  = 2
+	frontierSize = 8
+)
+
+// grid holds the usable workers by free processors (row) and memory (column).
+type grid struct {
+	top   amount.Vec
+	rows  [gridSide]uint32
+	cells [gridSide][gridSide][]*worker
+	n     int
+	turn  uint32
+}
+
+func bucket(v, top int64) int {
+	if v <= 0 || top <= 0 {
+		return 0
+	}
+	return min(gridSide-1, int(float64(v)/float64(top)*gridSide))
+}
+
+func (g *grid) insert(w *worker) {
+	free := w.free()
+	w.row, w.col = uint8(bucket(free.CPUMilli(), g.top.CPUMilli())), uint8(bucket(free.MemoryMiB(), g.top.MemoryMiB()))
+	cell := &g.cells[w.row][w.col]
+	w.pos = len(*cell)
+	*cell = append(*cell, w)
+	g.rows[w.row] |= 1 << w.col
+	w.grid = g
+	g.n++
+}
+
+func (g *grid) remove(w *worker) {
+	cell := &g.cells[w.row][w.col]
+	last := len(*cell) - 1
+	(*cell)[w.pos] = (*cell)[last]
+	(*cell)[w.pos].pos = w.pos
+	(*cell)[last] = nil
+	*cell = (*cell)[:last]
+	if last == 0 {
+		g.rows[w.row] &^= 1 << w.col
+	}
+	w.grid = nil
+	g.n--
+}
+
+// move puts w into the cell of its present free capacity.
+func (g *grid) move(w *worker) {
+	free := w.free()
+	if w.grid == g && int(w.row) == bucket(free.CPUMilli(), g.top.CPUMilli()) &&
+		int(w.col) == bucket(free.MemoryMiB(), g.top.MemoryMiB()) {
+		return
+	}
+	g.remove(w)
+	g.insert(w)
+}
+
+// query is one search for a worker.
+type query struct {
+	job  *job
+	size amount.Vec
+	end  clock.Mono
+	// reserved is set when a worker had room that is kept for another job.
+	reserved bool
+	// partial is set when the search gave up before it saw every candidate.
+	partial bool
+
+	misfits, fits int
+	best          *worker
+	score         float64
+}
+
+func (s *State) search(g *grid, q *query) {
+	row, col := bucket(q.size.CPUMilli(), g.top.CPUMilli()), bucket(q.size.MemoryMiB(), g.top.MemoryMiB())
+	g.turn++
+	for ; row < gridSide; row++ {
+		mask := g.rows[row] >> col << col
+		for used := 0; mask != 0 && used < cellsPerRow; {
+			m := bits.TrailingZeros32(mask)
+			mask &= mask - 1
+			if s.searchCell(g.cells[row][m], int(g.turn), q) {
+				used++
+			}
+			if q.misfits >= maxMisfits {
+				q.partial = true
+				return
+			}
+		}
+		if q.fits >= maxFits {
+			return
+		}
+	}
+}
+
+func (s *State) searchCell(cell []*worker, turn int, q *query) bool {
+	found := 0
+	at := turn % len(cell)
+	for range cell {
+		w := cell[at]
+		if at++; at == len(cell) {
+			at = 0
+		}
+		if !q.size.Fits(w.free()) || !s.admits(w, q) {
+			if q.misfits++; q.misfits >= maxMisfits {
+				return found > 0
+			}
+			continue
+		}
+		q.fits++
+		if score := s.score(w, q); q.best == nil || score < q.score {
+			q.best, q.score = w, score
+		}
+		if found++; found == fitsPerCell {
+			return true
+		}
+	}
+	return found > 0
+}
+
+// score is lower for a better fit: the larger of the parts left free, so that
+// neither processors nor memory are stranded, plus penalties.
+func (s *State) score(w *worker, q *query) float64 {
+	left := w.free().Sub(q.size)
+	score := max(ratio(left.CPUMilli(), w.capacity.CPUMilli()), ratio(left.MemoryMiB(), w.capacity.MemoryMiB()))
+	score += 0.25 * ratio(left.Accelerators(), w.capacity.Accelerators())
+	if len(q.job.failedOn) > 0 {
+		// A job that failed needs a worker known to work, otherwise three bad
+		// workers end it.
+		if len(w.streak) > 0 {
+			score += 4
+		}
+		if !w.proven {
+			score += 2
+		}
+	}
+	if q.job.racks != nil {
+		score += float64(q.job.racks[w.rack])
+	}
+	return score
+}
+
+func ratio(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// find returns a worker with room for q, or nil.
+func (s *State) find(q *query) *worker {
+	if s.frontier.covers(q.size) {
+		return nil
+	}
+	if q.size.Accelerators() == 0 {
+		s.search(&s.plain, q)
+		if q.best == nil {
+			s.search(&s.accelerated, q)
+		}
+	} else {
+		s.search(&s.accelerated, q)
+	}
+	if q.best == nil && !q.partial && !q.reserved && !q.job.picky() {
+		s.frontier.add(q.size)
+	}
+	return q.best
+}
+
+// frontier remembers sizes for which no worker has room, so that a full cell
+// costs one comparison instead of a search for each job.
+type frontier struct {
+	sizes [frontierSize]amount.Vec
+	n, at int
+}
+
+func (f *frontier) covers(size amount.Vec) bool {
+	for i := range f.n {
+		if f.sizes[i].Fits(size) {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *frontier) add(size amount.Vec) {
+	if f.n < frontierSize {
+		f.sizes[f.n] = size
+		f.n++
+		return
+	}
+	f.sizes[f.at] = size
+	f.at = (f.at + 1) % frontierSize
+}
+
+// freed drops the sizes that fit into free.
+func (f *frontier) freed(free amount.Vec) {
+	kept := 0
+	for i := range f.n {
+		if !f.sizes[i].Fits(free) {
+			f.sizes[kept] = f.sizes[i]
+			kept++
+		}
+	}
+	f.n, f.at = kept, 0
+}
--- /dev/null
+++ b/entry/place/learn.go
@@ -0,0 +1,92 @@
+package place
+
+import (
+	"math"
+	"time"
+
+	"limpethitch.example/core/amount"
+)
+
+const (
+	// window is the number of last reports kept; its p95 is the second largest.
+	window = 32
+	// minSamples is the number of reports before the declared size is replaced.
+	minSamples = 5
+	// defaultRun stands in for a run time that was neither declared nor learned.
+	defaultRun = 5 * time.Minute
+	minCPU     = 10
+	minMemory  = 1
+)
+
+// series keeps the last values and their p95.
+type series struct {
+	values [window]int64
+	n, at  int
+	p95    int64
+}
+
+func (r *series) add(v int64) {
+	r.values[r.at] = v
+	r.at = (r.at + 1) % window
+	r.n = min(window, r.n+1)
+	first, second := int64(math.MinInt64), int64(math.MinInt64)
+	for _, x := range r.values[:r.n] {
+		if x > first {
+			first, second = x, first
+		} else if x > second {
+			second = x
+		}
+	}
+	// The 95th percentile of fewer than 20 values is the largest.
+	if r.p95 = first; r.n >= 20 {
+		r.p95 = second
+	}
+}
+
+type kindKey struct{ team, kind string }
+
+// estimate is what is known of one team's kind of work.
+type estimate struct {
+	cpu, mem, run series
+}
+
+func (s *State) estimateOf(team, kind string) *estimate {
+	key := kindKey{team, kind}
+	if e := s.kinds[key]; e != nil {
+		return e
+	}
+	if len(s.kindOrder) < s.cfg.MaxKinds {
+		s.kindOrder = append(s.kindOrder, key)
+	} else {
+		// Replaces the oldest kind; jobs that wait keep theirs until they end.
+		delete(s.kinds, s.kindOrder[s.kindAt])
+		s.kindOrder[s.kindAt] = key
+		s.kindAt = (s.kindAt + 1) % len(s.kindOrder)
+	}
+	e := &estimate{}
+	s.kinds[key] = e
+	return e
+}
+
+func (s *State) margin(v int64) int64 { return int64(float64(v) * s.cfg.Margin) }
+
+// sizeOf returns what is set aside for a task of j.
+func (s *State) sizeOf(j *job) amount.Vec {
+	declared := j.spec.size
+	if j.est.cpu.n < minSamples {
+		return declared.Max(amount.New(minCPU, minMemory, 0, 0))
+	}
+	return amount.New(max(minCPU, s.margin(j.est.cpu.p95)), max(minMemory, s.margin(j.est.mem.p95)),
+		declared.Accelerators(), declared.Requests())
+}
+
+// runOf returns the upper quantile of a task's run time.
+func (s *State) runOf(j *job) time.Duration {
+	if j.est.run.n >= minSamples {
+		return time.Duration(j.est.run.p95)
+	}
+	if j.spec.run > 0 {
+		return j.spec.run
+	}
+	return defaultRun
+}
--- /dev/null
+++ b/entry/place/preempt.go
@@ -0,0 +1,327 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/policy"
+)
+
+// victimSample is the number of workers compared for the least work lost.
+const victimSample = 32
+
+// claim is a worker on which tasks are preempted for one urgent member.
+type claim struct {
+	job    *job
+	member int
+	worker *worker
+	size   amount.Vec
+}
+
+// preempt issues one step against a task.
+func (s *State) preempt(t *task, how How, size amount.Vec, by clock.Mono) {
+	if t.how == "" {
+		s.preempting = append(s.preempting, t)
+	}
+	t.how, t.by = how, by
+	s.emit(Preempt{task: t.id, worker: t.worker.id, how: how, size: size, by: by})
+}
+
+// preemptFor makes room for one member of an urgent job where the least work
+// is lost. The member then waits for that worker.
+func (s *State) preemptFor(j *job, size amount.Vec) bool {
+	if len(s.order) == 0 || !s.room() {
+		return false
+	}
+	// Nothing is preempted for work that its limit does not allow.
+	if !s.reserve(j, size) {
+		return false
+	}
+	s.cfg.Limiter.Free(j.team.name, size)
+	var best *worker
+	var cost float64
+	at := s.rng.IntN(len(s.order))
+	for range min(victimSample, len(s.order)) {
+		w := s.order[at]
+		if at++; at == len(s.order) {
+			at = 0
+		}
+		if !w.usable() || w.claim != nil || w.probation || !size.Fits(w.capacity) || slices.Contains(j.failedOn, w.id) {
+			continue
+		}
+		need := size.Sub(w.free()).Positive()
+		c, ok := s.victimsOn(w, need)
+		if ok && (best == nil || c < cost) && len(s.victims) <= s.max-len(s.out) {
+			best, cost = w, c
+			s.chosen = append(s.chosen[:0], s.victims...)
+		}
+	}
+	if best == nil {
+		return false
+	}
+	for _, t := range s.chosen {
+		s.preempt(t, HowCheckpoint, t.size, s.now.Add(s.cfg.CheckpointGrace))
+	}
+	best.claim = j
+	s.claims = append(s.claims, claim{job: j, member: j.take(), worker: best, size: size})
+	j.parked++
+	return true
+}
+
+// yields reports whether a task may be preempted for urgent work. One that may
+// not run twice is never a victim, and stopping a member stops a whole gang.
+func (t *task) yields() bool {
+	return t.how == "" && t.job.spec.class == policy.ClassBatch && t.job.spec.repeatable
+}
+
+// victimsOn fills s.victims with tasks whose end frees need, cheapest first.
+func (s *State) victimsOn(w *worker, need amount.Vec) (float64, bool) {
+	s.victims = s.victims[:0]
+	for _, t := range w.tasks {
+		if t.yields() {
+			s.victims = append(s.victims, t)
+		}
+	}
+	return s.cheapest(need)
+}
+
+// cheapest keeps of s.victims those that together free need for the least work
+// lost by the amount freed.
+func (s *State) cheapest(need amount.Vec) (float64, bool) {
+	if need.IsZero() {
+		s.victims = s.victims[:0]
+		return 0, true
+	}
+	slices.SortFunc(s.victims, func(a, b *task) int {
+		return cmp.Or(cmp.Compare(a.job.spec.priority, b.job.spec.priority),
+			cmp.Compare(a.lost(s.now)/relief(a, need), b.lost(s.now)/relief(b, need)), cmp.Compare(a.id, b.id))
+	})
+	var cost float64
+	kept := s.victims[:0]
+	for _, t := range s.victims {
+		if need.IsZero() {
+			break
+		}
+		if relief(t, need) <= tinyRelief {
+			continue
+		}
+		need = need.Sub(t.size).Positive()
+		cost += t.lost(s.now)
+		kept = append(kept, t)
+	}
+	s.victims = kept
+	return cost, need.IsZero()
+}
+
+const tinyRelief = 1e-9
+
+// relief is the part of need that the end of t frees.
+func relief(t *task, need amount.Vec) float64 {
+	got := t.size.Min(need)
+	return max(tinyRelief, ratio(got.CPUMilli(), need.CPUMilli())+ratio(got.MemoryMiB(), need.MemoryMiB())+
+		ratio(got.Accelerators(), need.Accelerators()))
+}
+
+// serveClaims starts urgent members whose room has become free, there or
+// elsewhere.
+func (s *State) serveClaims() {
+	kept := s.claims[:0]
+	for _, c := range s.claims {
+		if !s.serveClaim(c) {
+			kept = append(kept, c)
+		}
+	}
+	clear(s.claims[len(kept):])
+	s.claims = kept
+}
+
+// serveClaim reports whether the claim is over.
+func (s *State) serveClaim(c claim) bool {
+	if c.job.cancelled {
+		s.unclaim(c)
+		return true
+	}
+	w := c.worker
+	if !w.usable() {
+		s.unclaim(c)
+		c.job.retry = append(c.job.retry, c.member)
+		s.enqueue(c.job)
+		return true
+	}
+	if !s.room() {
+		return false
+	}
+	if !c.size.Fits(w.free()) {
+		if s.tried == s.version {
+			return false
+		}
+		q := &s.query
+		*q = query{job: c.job, size: c.size, end: s.now.Add(s.runOf(c.job))}
+		if w = s.find(q); w == nil {
+			return false
+		}
+	}
+	if !s.reserve(c.job, c.size) {
+		return false
+	}
+	s.unclaim(c)
+	s.start(c.job, c.member, w, c.size)
+	return true
+}
+
+func (s *State) unclaim(c claim) {
+	c.worker.claim = nil
+	c.job.parked--
+	s.version++
+}
+
+// escalate moves on to harder means where a task did not give way in time.
+func (s *State) escalate() {
+	for _, t := range s.preempting {
+		if !s.room() || t.how == HowStop || s.now < t.by {
+			continue
+		}
+		if t.how == HowThrottle {
+			t.how = ""
+			s.preempting = slices.DeleteFunc(s.preempting, func(p *task) bool { return p == t })
+			return
+		}
+		s.preempt(t, HowStop, t.size, s.now.Add(s.cfg.StopGrace))
+	}
+}
+
+// confirmThrottle lowers what is set aside once the worker reports that the
+// task keeps to its throttle.
+func (s *State) confirmThrottle(t *task, used amount.Vec) amount.Vec {
+	if used.CPUMilli() > t.full.CPUMilli() {
+		return t.size.Max(used)
+	}
+	t.how, t.throttled = "", true
+	t.worker.throttled++
+	s.preempting = slices.DeleteFunc(s.preempting, func(p *task) bool { return p == t })
+	return amount.New(t.full.CPUMilli(), max(t.size.MemoryMiB(), used.MemoryMiB()), t.size.Accelerators(), t.size.Requests())
+}
+
+// relieve makes tasks of overloaded workers give way until what is used fits:
+// first a throttle to what was set aside, then checkpoints, then stops.
+func (s *State) relieve() {
+	kept := s.overloaded[:0]
+	for _, w := range s.overloaded {
+		if !w.overloaded || len(w.tasks) == 0 {
+			continue
+		}
+		kept = append(kept, w)
+		if s.now >= w.overBy && s.room() {
+			s.relieveOne(w)
+		}
+	}
+	clear(s.overloaded[len(kept):])
+	s.overloaded = kept
+}
+
+func (s *State) relieveOne(w *worker) {
+	if s.throttle(w) {
+		w.overBy = s.now.Add(s.cfg.ThrottleGrace)
+		return
+	}
+	need := w.used.Sub(w.capacity).Positive()
+	s.victims = s.victims[:0]
+	for _, t := range w.tasks {
+		if t.how != "" && t.how != HowThrottle {
+			need = need.Sub(t.size).Positive()
+			continue
+		}
+		s.victims = append(s.victims, t)
+	}
+	s.spareLast(need)
+	for _, t := range s.victims {
+		if !s.room() {
+			return
+		}
+		s.preempt(t, HowCheckpoint, t.size, s.now.Add(s.cfg.CheckpointGrace))
+	}
+	w.overBy = s.now.Add(s.cfg.CheckpointGrace + s.cfg.StopGrace)
+}
+
+// spareLast chooses victims among batch work first, and only when that does
+// not suffice among all, services last.
+func (s *State) spareLast(need amount.Vec) {
+	all := slices.Clone(s.victims)
+	s.victims = slices.DeleteFunc(s.victims, func(t *task) bool { return !t.yieldsToOverload() })
+	if _, ok := s.cheapest(need); ok {
+		return
+	}
+	s.victims = slices.DeleteFunc(append(s.victims[:0], all...), func(t *task) bool { return t.job.rank == rankService })
+	if _, ok := s.cheapest(need); ok {
+		return
+	}
+	s.victims = append(s.victims[:0], all...)
+	s.cheapest(need)
+}
+
+func (t *task) yieldsToOverload() bool {
+	return t.job.spec.class == policy.ClassBatch && t.job.spec.repeatable
+}
+
+// throttle holds tasks that use more processors than was set aside to that.
+func (s *State) throttle(w *worker) bool {
+	any := false
+	for _, t := range w.tasks {
+		if t.how != "" || t.throttled || t.size.CPUMilli() <= t.full.CPUMilli() || !s.room() {
+			continue
+		}
+		s.preempt(t, HowThrottle, t.full, s.now.Add(s.cfg.ThrottleGrace))
+		any = true
+	}
+	return any
+}
+
+// Shed has running work of a team stopped until excess is free, by least work
+// lost, services last. It is called when the team's limit was lowered.
+func (s *State) Shed(team string, excess amount.Vec, now clock.Mono) {
+	s.advance(now)
+	s.team(team).shedding = excess.Positive()
+	s.shedders = append(s.shedders, s.team(team))
+}
+
+// shedGrace leaves the rest of the 5 s, within which a lowered limit must hold,
+// to the stop.
+const shedGrace = 2 * time.Second
+
+func (s *State) shed() {
+	for len(s.shedders) > 0 {
+		if !s.shedTeam(s.shedders[0]) {
+			return
+		}
+		s.shedders = slices.Delete(s.shedders, 0, 1)
+	}
+}
+
+// shedTeam reports whether all victims of t were told.
+func (s *State) shedTeam(t *team) bool {
+	s.victims = s.victims[:0]
+	need := t.shedding
+	for _, w := range s.order {
+		for _, k := range w.tasks {
+			if k.job.team != t {
+				continue
+			}
+			if k.how != "" && k.how != HowThrottle {
+				need = need.Sub(k.size).Positive()
+				continue
+			}
+			s.victims = append(s.victims, k)
+		}
+	}
+	s.spareLast(need)
+	for _, k := range s.victims {
+		if !s.room() {
+			return false
+		}
+		s.preempt(k, HowCheckpoint, k.size, s.now.Add(shedGrace))
+	}
+	return true
+}
