--- /dev/null
+++ b/entry/route/instance.go
@@ -0,0 +1,205 @@
+package route
+
+import (
+	"container/heap"
+	"math"
+	"time"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/fleet"
+)
+
+// Constants of the choice of an instance.
+const (
+	// latencyWeight is the weight of a new sample in an instance's latency.
+	latencyWeight = 0.1
+	// serviceWeight is the same for the service as a whole. It is smaller, so
+	// that one slow instance shows against the others.
+	serviceWeight = 0.01
+	// slowFactor is how much slower than its service an instance may be before
+	// its limit is lowered.
+	slowFactor = 2
+	// ejectAfter is the number of consecutive failures that ejects.
+	ejectAfter = 3
+	// ejectBase and ejectMax bound the time of an ejection, which doubles.
+	ejectBase = time.Second
+	ejectMax  = time.Minute
+	// restoreAfter is the number of consecutive successes after which earlier
+	// ejections are forgotten.
+	restoreAfter = 64
+)
+
+// health is the state of an instance as its answers show it.
+type health string
+
+const (
+	healthy health = "healthy"
+	ejected health = "ejected"
+	probing health = "probing"
+)
+
+// instance is one backend server as long as it is on the list.
+type instance struct {
+	vm    fleet.VM
+	svc   *service
+	index int
+	score float64
+	held  int
+	// counted is what the service counts of this instance in its capacity.
+	counted int
+	leaving bool
+	removed bool
+
+	// limit follows what the instance bears, between 1 and its slots.
+	limit     float64
+	latency   float64
+	failRate  float64
+	health    health
+	failures  int
+	successes int
+	ejections int
+	// lowered is when the limit was last lowered, so that the answers of one
+	// burst lower it once.
+	lowered clock.Mono
+}
+
+// slots returns how many requests may run at once: each takes a connection.
+func slots(vm fleet.VM) int {
+	if c := vm.Connections(); c > 0 && c < vm.Slots() {
+		return c
+	}
+	return vm.Slots()
+}
+
+// allowed returns how many requests the instance may hold now.
+func (i *instance) allowed() int {
+	if i.leaving || i.removed {
+		return 0
+	}
+	switch i.health {
+	case ejected:
+		return 0
+	case probing:
+		return min(1, slots(i.vm))
+	case healthy:
+	}
+	return min(int(i.limit), slots(i.vm))
+}
+
+func (i *instance) free() int { return max(0, i.allowed()-i.held) }
+
+// rescore computes the load that one more request would mean: its share of
+// the limit, weighted by latency and failures.
+func (i *instance) rescore() {
+	if i.free() == 0 {
+		i.score = math.Inf(1)
+		return
+	}
+	latency := i.latency
+	if latency == 0 {
+		latency = i.svc.latency
+	}
+	i.score = float64(i.held+1) / float64(i.allowed()) * (latency + 1e-6) * (1 + 4*i.failRate)
+	if i.health == probing {
+		i.score += 1e9
+	}
+}
+
+// lower reduces the limit, at most once in the time of one answer.
+func (i *instance) lower(factor float64, now clock.Mono) {
+	if now.Sub(i.lowered).Seconds() < i.latency && i.lowered != 0 {
+		return
+	}
+	i.lowered = now
+	i.limit = max(1, i.limit*factor)
+}
+
+func (i *instance) succeeded(took float64, now clock.Mono) {
+	s := i.svc
+	if i.latency == 0 {
+		i.latency = took
+	}
+	i.latency += (took - i.latency) * latencyWeight
+	s.samples++
+	w := max(serviceWeight, 1/float64(s.samples))
+	s.deviation += (math.Abs(took-s.latency) - s.deviation) * w
+	s.latency += (took - s.latency) * w
+	i.failRate *= 1 - latencyWeight
+	i.failures = 0
+	i.successes++
+	if i.successes >= restoreAfter {
+		i.ejections = 0
+	}
+	if i.health == probing {
+		i.health = healthy
+		i.limit = 1
+	}
+	if i.latency > slowFactor*s.latency && float64(i.held) >= i.limit-1 {
+		i.lower(0.9, now)
+		return
+	}
+	if float64(i.held) >= i.limit-1 {
+		i.limit = min(float64(slots(i.vm)), i.limit+1/i.limit)
+	}
+}
+
+func (i *instance) failed(factor float64, now clock.Mono) {
+	i.failRate += (1 - i.failRate) * latencyWeight
+	i.failures++
+	i.successes = 0
+	i.lower(factor, now)
+	if i.health == probing || i.failures >= ejectAfter {
+		i.svc.eject(i, now)
+	}
+}
+
+// ejectTime returns how long the next ejection lasts.
+func (i *instance) ejectTime() time.Duration {
+	return min(ejectMax, ejectBase<<min(i.ejections, 10))
+}
+
+// instanceHeap orders instances by score.
+type instanceHeap []*instance
+
+func (h instanceHeap) Len() int           { return len(h) }
+func (h instanceHeap) Less(i, j int) bool { return h[i].score < h[j].score }
+func (h instanceHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *instanceHeap) Push(x any) {
+	i := x.(*instance)
+	i.index = len(*h)
+	*h = append(*h, i)
+}
+
+func (h *instanceHeap) Pop() any {
+	old := *h
+	i := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	i.index = -1
+	return i
+}
+
+// pick returns the instance with the least load that has room and is not
+// avoid, or nil.
+func (h *instanceHeap) pick(avoid *instance) *instance {
+	if len(*h) == 0 {
+		return nil
+	}
+	best := (*h)[0]
+	if best == avoid {
+		heap.Remove(h, 0)
+		defer heap.Push(h, avoid)
+		if len(*h) == 0 {
+			return nil
+		}
+		best = (*h)[0]
+	}
+	if math.IsInf(best.score, 1) {
+		return nil
+	}
+	return best
+}
--- /dev/null
+++ b/entry/route/queue.go
@@ -0,0 +1,171 @@
+package route
+
+import (
+	"container/heap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/policy"
+)
+
+// waiter is a request that waits for a slot. It is also the node of the tree
+// that orders it.
+type waiter struct {
+	req      *Request
+	svc      *service
+	flow     *flow
+	seq      uint64
+	enqueued clock.Mono
+	avoid    *instance
+	// ready receives once when lease or err is set.
+	ready chan struct{}
+	lease *lease
+	err   error
+
+	left, right *waiter
+	prio        uint64
+	size        int
+}
+
+// flow is the queue of one team in one class. The flows of a class are served
+// by stride scheduling, a weighted round-robin without a fixed round.
+type flow struct {
+	team    string
+	level   *level
+	tree    tree
+	pass    float64
+	weight  float64
+	index   int
+	blocked bool
+}
+
+// level holds the flows of one class of one service.
+type level struct {
+	class  policy.Class
+	flows  map[string]*flow
+	active flowHeap
+	// weights is the sum over flows that have waiting requests.
+	weights float64
+	vtime   float64
+	len     int
+	// busySince is when the level last went from empty to waiting.
+	busySince clock.Mono
+	// cappedUntil is the end of the current overload.
+	cappedUntil clock.Mono
+}
+
+type flowHeap []*flow
+
+func (h flowHeap) Len() int           { return len(h) }
+func (h flowHeap) Less(i, j int) bool { return h[i].pass < h[j].pass }
+func (h flowHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
+}
+
+func (h *flowHeap) Pop() any {
+	old := *h
+	f := old[len(old)-1]
+	old[len(old)-1] = nil
+	*h = old[:len(old)-1]
+	f.index = -1
+	return f
+}
+
+func newLevel(c policy.Class) *level {
+	return &level{class: c, flows: map[string]*flow{}}
+}
+
+func (l *level) flow(team string) *flow {
+	f, ok := l.flows[team]
+	if !ok {
+		f = &flow{team: team, level: l, index: -1, tree: tree{rng: 0x9e3779b97f4a7c15}}
+		l.flows[team] = f
+	}
+	return f
+}
+
+// ahead estimates how many waiting requests of the level are served before a
+// new one with that deadline: its rank in its own team, and for each of these
+// the turns of the other teams.
+func (l *level) ahead(f *flow, weight float64, until clock.Mono) int {
+	rank := f.tree.rank(until)
+	others := l.len - f.tree.len()
+	weights := l.weights
+	if f.tree.len() > 0 {
+		weights -= f.weight
+	}
+	turns := int(float64(rank+1) * weights / weight)
+	return rank + min(others, turns)
+}
+
+func (l *level) push(w *waiter, f *flow, weight float64, now clock.Mono) {
+	if l.len == 0 {
+		l.busySince = now
+	}
+	w.flow = f
+	l.len++
+	f.tree.insert(w)
+	if f.tree.len() > 1 {
+		return
+	}
+	f.weight = weight
+	l.weights += weight
+	f.pass = max(f.pass, l.vtime)
+	if !f.blocked {
+		heap.Push(&l.active, f)
+	}
+}
+
+// remove takes w out, when it was chosen or when its caller left.
+func (l *level) remove(w *waiter) {
+	f := w.flow
+	f.tree.remove(w)
+	w.flow = nil
+	l.len--
+	if f.tree.len() > 0 {
+		return
+	}
+	l.weights -= f.weight
+	if f.index >= 0 {
+		heap.Remove(&l.active, f.index)
+	}
+	if l.len == 0 {
+		l.weights = 0
+	}
+	// An empty flow is kept only while its pass is ahead, so that a team
+	// cannot regain its turn by letting its queue run empty.
+	if f.pass <= l.vtime && !f.blocked {
+		delete(l.flows, f.team)
+	}
+}
+
+// charge moves the flow behind by one turn.
+func (l *level) charge(f *flow) {
+	l.vtime = max(l.vtime, f.pass)
+	f.pass += 1 / f.weight
+	if f.index >= 0 {
+		heap.Fix(&l.active, f.index)
+	}
+}
+
+// block takes a flow whose team is at its limit out of the order of service.
+func (l *level) block(f *flow) {
+	f.blocked = true
+	if f.index >= 0 {
+		heap.Remove(&l.active, f.index)
+	}
+}
+
+func (l *level) unblock(f *flow) {
+	f.blocked = false
+	if f.tree.len() > 0 && f.index < 0 {
+		f.pass = max(f.pass, l.vtime)
+		heap.Push(&l.active, f)
+	}
+}
--- /dev/null
+++ b/entry/route/request.go
@@ -0,0 +1,148 @@
+package route
+
+import (
+	"strings"
+	"time"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
+)
+
+// Request is one authorised request.
+type Request struct {
+	id          string
+	callerID    bool
+	grant       policy.Grant
+	queue       policy.Queue
+	class       policy.Class
+	deadline    time.Time
+	until       clock.Mono
+	repeatable  bool
+	method      string
+	path        string
+	contentType string
+	body        []byte
+}
+
+// Option sets an optional part of a Request.
+type Option func(*Request)
+
+// WithCallerID states whether the id came from the caller.
+func WithCallerID(callerID bool) Option {
+	return func(r *Request) { r.callerID = callerID }
+}
+
+// WithRepeatable states whether the work may run more than once.
+func WithRepeatable(repeatable bool) Option {
+	return func(r *Request) { r.repeatable = repeatable }
+}
+
+// WithPayload sets what is sent to the backend server. The default is an empty
+// POST to /. The body must not change until Do has returned.
+func WithPayload(method, path, contentType string, body []byte) Option {
+	return func(r *Request) {
+		r.method, r.path, r.contentType, r.body = method, path, contentType, body
+	}
+}
+
+// NewRequest returns a request that must be answered by the wall time
+// deadline.
+func NewRequest(id string, grant policy.Grant, queue policy.Queue, deadline time.Time, opts ...Option) Request {
+	r := Request{
+		id: id, grant: grant, queue: queue, class: queue.Class(), deadline: deadline,
+		method: "POST", path: "/",
+	}
+	for _, o := range opts {
+		o(&r)
+	}
+	return r
+}
+
+// ID returns the request's id.
+func (r Request) ID() string { return r.id }
+
+// CallerID reports whether the id came from the caller.
+func (r Request) CallerID() bool { return r.callerID }
+
+// Grant returns the right under which the request was accepted.
+func (r Request) Grant() policy.Grant { return r.grant }
+
+// Queue returns the queue that the caller named.
+func (r Request) Queue() policy.Queue { return r.queue }
+
+// Deadline returns the wall time by which the caller needs the response.
+func (r Request) Deadline() time.Time { return r.deadline }
+
+// Until returns the deadline on the router's monotonic clock. It is 0 before
+// the router accepted the request.
+func (r Request) Until() clock.Mono { return r.until }
+
+// Repeatable reports whether the work may run more than once.
+func (r Request) Repeatable() bool { return r.repeatable }
+
+// Method returns the HTTP method for the backend server.
+func (r Request) Method() string { return r.method }
+
+// Path returns the path and query for the backend server.
+func (r Request) Path() string { return r.path }
+
+// ContentType returns the type of the body.
+func (r Request) ContentType() string { return r.contentType }
+
+// Body returns the body. Callers must not change it.
+func (r Request) Body() []byte { return r.body }
+
+// maxIDLength bounds ids, which are kept in memory after the response.
+const maxIDLength = 128
+
+// check refuses what would be sent to a backend server in another form than
+// the caller gave it, such as a line break in a header value.
+func (r *Request) check() error {
+	switch {
+	case r.id == "" || len(r.id) > maxIDLength || !visible(r.id, false):
+		return rcode.New(rcode.BadRequest, "id must be 1 to %d visible characters", maxIDLength)
+	case r.method == "" || strings.Trim(r.method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "":
+		return rcode.New(rcode.BadRequest, "method %q is not a word of capitals", r.method)
+	case !strings.HasPrefix(r.path, "/") || !visible(r.path, false) || strings.ContainsRune(r.path, '#'):
+		return rcode.New(rcode.BadRequest, "path %q is not an absolute path", r.path)
+	case !visible(r.contentType, true):
+		return rcode.New(rcode.BadRequest, "content type %q has control characters", r.contentType)
+	}
+	return nil
+}
+
+func visible(s string, space bool) bool {
+	for i := range len(s) {
+		c := s[i]
+		if c > '~' || c < ' ' || (c == ' ' && !space) {
+			return false
+		}
+	}
+	return true
+}
+
+// Response is the whole response of a backend server.
+type Response struct {
+	id          string
+	status      int
+	contentType string
+	body        []byte
+}
+
+// NewResponse returns a response to the request with the given id.
+func NewResponse(id string, status int, contentType string, body []byte) Response {
+	return Response{id: id, status: status, contentType: contentType, body: body}
+}
+
+// ID returns the id of the request that was answered.
+func (r Response) ID() string { return r.id }
+
+// Status returns the HTTP status.
+func (r Response) Status() int { return r.status }
+
+// ContentType returns the type of the body.
+func (r Response) ContentType() string { return r.contentType }
+
+// Body returns the body. Callers must not change it: duplicates share it.
+func (r Response) Body() []byte { return r.body }
--- /dev/null
+++ b/entry/route/route.go
@@ -0,0 +1,130 @@
+// Package route is the request path of a shard's owner: from an authorised
+// request to the whole response of one of the shard's backend servers.
+//
+// # Usage
+//
+//	backend := route.NewHTTPBackend(route.HTTPConfig{}, clk)
+//	r := route.New(route.Config{}, route.Deps{
+//		Clock: clk, Log: log, Gate: gate, Backend: backend, Weight: weight,
+//	})
+//	r.SetInstances(list.Role(fleet.RoleBackend))
+//	resp, err := r.Do(ctx, route.NewRequest(id, grant, queue, deadline,
+//		route.WithPayload("POST", "/", "application/json", body)))
+//
+// An error carries an rcode code. A code whose NotRun is true is returned only
+// when no instance can have run the work: it was never sent, or every instance
+// it was sent to refused it before work began.
+//
+// # Slots
+//
+// Each running request holds one slot of one instance and one reservation of
+// its team. Both are given back together:
+//
+//   - at once when the response is complete, when the instance refused before
+//     work began, when nothing was sent, or when the instance closed the
+//     connection;
+//   - after a penalty when this side gave up: the deadline passed, or the
+//     answer was for another request. The instance may still be working. It is
+//     presumed done after twice the moving service time, at least
+//     Config.PenaltyMin and at most MaxLife, counted from giving up.
+//
+// # Order of service
+//
+// Requests that find no free slot wait in bounded queues by class and team.
+// Interactive requests go first, teams of a class take turns by weight, and
+// the earliest deadline goes first within a team.
+package route
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+)
+
+// MaxLife is the longest time from accepting a request to its deadline. After
+// an unplanned takeover, ids are unknown for that long.
+const MaxLife = 60 * time.Second
+
+// IDGrace is how long a finished id is kept after its request's deadline, so
+// that a caller that repeats it late still gets the first response.
+const IDGrace = 60 * time.Second
+
+// CallerClockError bounds the error of callers' clocks in time-ordered ids.
+const CallerClockError = 5 * time.Second
+
+// Errors that a Backend wraps to tell the router what is certain.
+var (
+	// ErrNotSent states that no byte of the request was sent.
+	ErrNotSent = errors.New("request not sent")
+	// ErrGaveUp states that this side stopped waiting while the instance may
+	// still be working.
+	ErrGaveUp = errors.New("gave up waiting")
+)
+
+// Gate decides whether work may start now. The router calls Reserve and Free
+// while it holds its lock: they must not block and must not call the router.
+type Gate interface {
+	// Allowed is called right before each send. It reports an error when this
+	// VM's authority over the shard has ended, the policy is too old, or the
+	// grant no longer holds.
+	Allowed(req Request) error
+	// Reserve takes one of the team's running requests and reports whether
+	// the limit allows it.
+	Reserve(team string) bool
+	// Free gives back one successful Reserve.
+	Free(team string)
+}
+
+// Backend sends a request to one instance and returns its whole response.
+//
+// Do must return at the latest at the request's deadline. It returns an error
+// with code BackendRefused only when the work certainly did not run; such an
+// error wraps ErrNotSent if nothing was sent. When it gives up on an instance
+// that may still be working, the error wraps ErrGaveUp.
+type Backend interface {
+	Do(ctx context.Context, addr string, req Request) (Response, error)
+}
+
+// Deps are what a Router works with.
+type Deps struct {
+	Clock   clock.Clock
+	Log     *zap.Logger
+	Gate    Gate
+	Backend Backend
+	// Weight returns a team's share of the slots of its class; nil weighs all
+	// teams alike. It is called with the router's lock held.
+	Weight func(team string) int64
+}
+
+// Config holds the bounds of a Router.
+type Config struct {
+	// MaxIDs bounds the ids remembered; further ones are refused as not run.
+	MaxIDs int
+	// MaxIDBytes bounds the response bodies kept for repeated ids.
+	MaxIDBytes int
+	// PenaltyMin is the shortest time that a slot stays taken after the router
+	// gave up on a request.
+	PenaltyMin time.Duration
+	// MaxAttempts bounds the sends and failed dials of one request.
+	MaxAttempts int
+}
+
+// Defaults sets what the configuration leaves out.
+func (c *Config) Defaults() {
+	if c.MaxIDs == 0 {
+		c.MaxIDs = 1 << 18
+	}
+	if c.MaxIDBytes == 0 {
+		c.MaxIDBytes = 32 << 20
+	}
+	if c.PenaltyMin == 0 {
+		c.PenaltyMin = 500 * time.Millisecond
+	}
+	if c.MaxAttempts == 0 {
+		c.MaxAttempts = 3
+	}
+}
--- /dev/null
+++ b/entry/route/router.go
@@ -0,0 +1,440 @@
+package route
+
+import (
+	"container/heap"
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/fleet"
+	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
+)
+
+// Router is the request path of one shard's owner. Its methods are safe for
+// concurrent use.
+type Router struct {
+	cfg     Config
+	clk     clock.Clock
+	log     *zap.Logger
+	gate    Gate
+	backend Backend
+	weigh   func(team string) int64
+
+	mu       sync.Mutex
+	services map[string]*service
+	blocked  map[string][]blockedFlow
+	ids      *idTable
+	budget   budget
+	events   events
+	armed    clock.Mono
+	seq      uint64
+	running  int
+	calls    int
+	draining bool
+	idle     chan struct{}
+
+	takenOver     time.Time
+	takenOverMono clock.Mono
+}
+
+type blockedFlow struct {
+	svc  *service
+	flow *flow
+}
+
+// New returns a router without instances.
+func New(cfg Config, deps Deps) *Router {
+	cfg.Defaults()
+	r := &Router{
+		cfg: cfg, clk: deps.Clock, log: deps.Log, gate: deps.Gate, backend: deps.Backend, weigh: deps.Weight,
+		services: map[string]*service{}, blocked: map[string][]blockedFlow{},
+	}
+	if r.log == nil {
+		r.log = zap.NewNop()
+	}
+	r.ids = newIDTable(cfg, deps.Clock)
+	return r
+}
+
+func (r *Router) service(name string) *service {
+	s, ok := r.services[name]
+	if !ok {
+		s = newService(r, name)
+		r.services[name] = s
+	}
+	return s
+}
+
+func (r *Router) weight(team string) float64 {
+	if r.weigh == nil {
+		return 1
+	}
+	return float64(max(1, r.weigh(team)))
+}
+
+func (r *Router) nextSeq() uint64 {
+	r.seq++
+	return r.seq
+}
+
+// instanceKeeper is a Backend that keeps connections for each instance.
+type instanceKeeper interface{ SetInstances(vms []fleet.VM) }
+
+// SetInstances replaces the list of this shard's backend servers. A leaving
+// instance gets nothing new, its running requests finish. One that was removed
+// and returns starts clean.
+func (r *Router) SetInstances(vms []fleet.VM) {
+	byService := map[string][]fleet.VM{}
+	for _, vm := range vms {
+		if vm.Role() == fleet.RoleBackend {
+			byService[vm.Service()] = append(byService[vm.Service()], vm)
+		}
+	}
+	if k, ok := r.backend.(instanceKeeper); ok {
+		k.SetInstances(vms)
+	}
+	r.mu.Lock()
+	defer r.unlock()
+	now := r.clk.Now()
+	for name := range byService {
+		r.service(name)
+	}
+	for name, s := range r.services {
+		s.setInstances(byService[name])
+		s.dispatch(now)
+	}
+}
+
+// Do runs one request and returns its whole response. After the request was
+// sent it returns only with the response or at the deadline, even when ctx
+// ends: the work counts as running.
+func (r *Router) Do(ctx context.Context, req Request) (Response, error) {
+	if err := req.check(); err != nil {
+		return Response{}, rcode.Wrap(err, rcode.Of(err), "route.Do")
+	}
+	now := r.clk.Now()
+	left := req.deadline.Sub(r.clk.Wall())
+	req.until = now.Add(left)
+	switch {
+	case left <= 0:
+		return Response{}, rcode.New(rcode.DeadlinePassed, "route.Do: deadline passed %v ago", -left)
+	case left > MaxLife:
+		return Response{}, rcode.New(rcode.DeadlineTooFar, "route.Do: deadline in %v, at most %v", left, MaxLife)
+	}
+	if !r.enter() {
+		return Response{}, rcode.New(rcode.Draining, "route.Do")
+	}
+	defer r.leave()
+	var resp Response
+	var err error
+	if req.callerID && !req.repeatable {
+		resp, err = r.once(ctx, &req)
+	} else {
+		resp, err = r.run(ctx, &req)
+	}
+	return resp, rcode.Wrap(err, rcode.Of(err), "route.Do")
+}
+
+func (r *Router) enter() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.draining {
+		return false
+	}
+	r.calls++
+	return true
+}
+
+func (r *Router) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.calls--
+	r.checkIdle()
+}
+
+func (r *Router) checkIdle() {
+	if r.idle != nil && r.calls == 0 && r.running == 0 {
+		close(r.idle)
+		r.idle = nil
+	}
+}
+
+// run sends the request, and again while the rules for retries allow.
+func (r *Router) run(ctx context.Context, req *Request) (Response, error) {
+	w := &waiter{req: req}
+	// ran is the outcome of a send after which the work may have run. Once
+	// set, no later refusal may be reported as "not run".
+	var ran error
+	for attempt := 1; ; attempt++ {
+		l, err := r.acquire(ctx, w)
+		if err != nil {
+			return Response{}, first(ran, err)
+		}
+		if err := r.gate.Allowed(*req); err != nil {
+			r.release(l)
+			return Response{}, first(ran, err)
+		}
+		resp, err := r.backend.Do(context.WithoutCancel(ctx), l.inst.vm.Addr(), *req)
+		if err == nil && resp.id != req.id {
+			err = rcode.Wrap(ErrGaveUp, rcode.AnswerMismatched, "answer for %q", resp.id)
+		}
+		again := r.finish(l, req, attempt, resp, err)
+		if err == nil {
+			return resp, nil
+		}
+		if err = certain(err); !rcode.Of(err).NotRun() {
+			ran = err
+		}
+		if !again {
+			return Response{}, first(ran, err)
+		}
+		*w = waiter{req: req, avoid: l.inst}
+	}
+}
+
+func first(ran, err error) error {
+	if ran != nil {
+		return ran
+	}
+	return err
+}
+
+// certain lets an error of a Backend pass as "not run" only with the one code
+// that it may use for it.
+func certain(err error) error {
+	c := rcode.Of(err)
+	if c == rcode.BackendRefused || (!c.NotRun() && c != rcode.Internal) {
+		return err
+	}
+	return rcode.Wrap(err, rcode.OutcomeUnknown, "backend")
+}
+
+// acquire waits for a slot.
+func (r *Router) acquire(ctx context.Context, w *waiter) (*lease, error) {
+	r.mu.Lock()
+	now := r.clk.Now()
+	r.fire(now)
+	s := r.service(w.req.queue.Service())
+	var err error
+	if w.avoid == nil {
+		err = s.admit(w, now)
+	} else {
+		err = s.retry(w, now)
+	}
+	done := err != nil || w.lease != nil || w.err != nil
+	r.unlock()
+	if done {
+		return w.lease, first(err, w.err)
+	}
+	select {
+	case <-w.ready:
+		return w.lease, w.err
+	case <-ctx.Done():
+		err = rcode.Wrap(ctx.Err(), rcode.DeadlinePassed, "caller left the queue")
+	case <-r.clk.After(w.req.until.Sub(now)):
+		err = rcode.New(rcode.DeadlinePassed, "deadline passed in the queue")
+	}
+	r.mu.Lock()
+	defer r.unlock()
+	now = r.clk.Now()
+	if w.lease != nil {
+		s.release(w.lease, now)
+		return nil, err
+	}
+	s.abandon(w, now)
+	return nil, err
+}
+
+// release gives back a slot that was not used.
+func (r *Router) release(l *lease) {
+	r.mu.Lock()
+	defer r.unlock()
+	l.inst.svc.release(l, r.clk.Now())
+}
+
+// finish accounts for one send and reports whether another instance may be
+// tried.
+func (r *Router) finish(l *lease, req *Request, attempt int, resp Response, err error) bool {
+	r.mu.Lock()
+	defer r.unlock()
+	now := r.clk.Now()
+	if attempt == 1 {
+		r.budget.first()
+	}
+	i, s := l.inst, l.inst.svc
+	took := now.Sub(l.at).Seconds()
+	switch {
+	case err == nil:
+		i.succeeded(took, now)
+		if resp.status >= 500 {
+			i.failRate += (1 - i.failRate) * latencyWeight
+		}
+	case errors.Is(err, ErrGaveUp):
+		// A deadline shorter than the usual service time says nothing about
+		// the instance.
+		if took > slowFactor*s.latency {
+			i.failed(0.5, now)
+		}
+		s.touch(i)
+		penalty := min(MaxLife, max(r.cfg.PenaltyMin, 2*seconds(s.latency)))
+		r.at(now.Add(penalty), func(now clock.Mono) { s.release(l, now) })
+		return r.mayRetry(s, req, attempt, err, now)
+	default:
+		i.failed(0.7, now)
+	}
+	s.release(l, now)
+	return err != nil && r.mayRetry(s, req, attempt, err, now)
+}
+
+func (r *Router) mayRetry(s *service, req *Request, attempt int, err error, now clock.Mono) bool {
+	if !req.repeatable && !errors.Is(err, ErrNotSent) {
+		return false
+	}
+	if attempt >= r.cfg.MaxAttempts || rcode.Is(err, rcode.AnswerTooLarge) || s.live() < 2 {
+		return false
+	}
+	return now.Add(seconds(s.latency)) < req.until && r.budget.take(now)
+}
+
+func (r *Router) unblock(team string, now clock.Mono) {
+	flows := r.blocked[team]
+	if len(flows) == 0 {
+		return
+	}
+	delete(r.blocked, team)
+	for _, b := range flows {
+		b.flow.level.unblock(b.flow)
+	}
+	for _, b := range flows {
+		b.svc.dispatch(now)
+	}
+}
+
+// event is something that happens at a time.
+type event struct {
+	at clock.Mono
+	do func(now clock.Mono)
+}
+
+type events []event
+
+func (h events) Len() int           { return len(h) }
+func (h events) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h events) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *events) Push(x any)        { *h = append(*h, x.(event)) }
+
+func (h *events) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	old[len(old)-1] = event{}
+	*h = old[:len(old)-1]
+	return e
+}
+
+func (r *Router) at(t clock.Mono, do func(now clock.Mono)) {
+	heap.Push(&r.events, event{at: t, do: do})
+}
+
+// fire runs the events that are due.
+func (r *Router) fire(now clock.Mono) {
+	for len(r.events) > 0 && r.events[0].at <= now {
+		e := heap.Pop(&r.events).(event)
+		e.do(now)
+	}
+}
+
+// unlock unlocks r.mu and makes sure that the next event is waited for.
+func (r *Router) unlock() {
+	defer r.mu.Unlock()
+	r.checkIdle()
+	if len(r.events) == 0 {
+		return
+	}
+	next := r.events[0].at
+	if r.armed != 0 && r.armed <= next {
+		return
+	}
+	r.armed = next
+	timer := r.clk.After(next.Sub(r.clk.Now()))
+	go func() {
+		<-timer
+		r.mu.Lock()
+		defer r.unlock()
+		if r.armed == next {
+			r.armed = 0
+		}
+		r.fire(r.clk.Now())
+	}()
+}
+
+// Drain refuses new requests and ends when nothing waits or runs here, or
+// with ctx.
+func (r *Router) Drain(ctx context.Context) error {
+	r.mu.Lock()
+	r.draining = true
+	idle := r.idle
+	if idle == nil {
+		idle = make(chan struct{})
+		r.idle = idle
+	}
+	r.unlock()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return rcode.Wrap(ctx.Err(), rcode.Draining, "route.Drain")
+	}
+}
+
+// Stats is a digest of a router's state.
+type Stats struct {
+	queued  map[policy.Class]int
+	running int
+	free    int
+}
+
+// Queued returns the number of waiting requests of a class.
+func (s Stats) Queued(c policy.Class) int { return s.queued[c] }
+
+// Running returns the number of slots taken.
+func (s Stats) Running() int { return s.running }
+
+// Free returns the number of free slots of all services.
+func (s Stats) Free() int { return s.free }
+
+// Stats returns the router's queue lengths and slots.
+func (r *Router) Stats() Stats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	st := Stats{queued: map[policy.Class]int{}, running: r.running}
+	for _, s := range r.services {
+		st.free += s.free()
+		for _, l := range s.levels {
+			st.queued[l.class] += l.len
+		}
+	}
+	return st
+}
+
+// Free returns the number of free slots of a service.
+func (r *Router) Free(name string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if s, ok := r.services[name]; ok {
+		return s.free()
+	}
+	return 0
+}
+
+func (s *service) free() int {
+	n := 0
+	for _, i := range s.byID {
+		n += i.free()
+	}
+	return n
+}
--- /dev/null
+++ b/entry/route/router_test.go
@@ -0,0 +1,69 @@
+package route_test
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/route"
+)
+
+// Guards against a caller receiving anything but its own whole response.
+func TestDo(t *testing.T) {
+	r := newRig(t, backend(echo), route.Config{})
+	r.SetInstances(vms(t, 2, 8))
+	if d := cmp.Diff(16, r.Free("badges")); d != "" {
+		t.Error(d)
+	}
+	resp, err := r.do("a", "large", "hello")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff([]any{"a", 200, "hello"}, []any{resp.ID(), resp.Status(), string(resp.Body())}); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff([]int{16, 0}, []int{r.Free("badges"), r.Stats().Running()}); d != "" {
+		t.Errorf("slots after the response: %s", d)
+	}
+}
+
+// Guards against "not run" for work that may have run, and against a second
+// send of work that is not repeatable.
+func TestOutcome(t *testing.T) {
+	unknown := rcode.New(rcode.OutcomeUnknown, "cut")
+	unsent := rcode.Wrap(route.ErrNotSent, rcode.BackendRefused, "dial")
+	tests := map[string]struct {
+		repeatable bool
+		errs       []error
+		gate       error
+		code       rcode.Code
+		sends      int
+	}{
+		"refused":                  {errs: []error{rcode.New(rcode.BackendRefused, "no")}, code: rcode.BackendRefused, sends: 1},
+		"unknown":                  {errs: []error{unknown}, code: rcode.OutcomeUnknown, sends: 1},
+		"not sent, then another":   {errs: []error{unsent}, code: rcode.OK, sends: 2},
+		"claims not run wrongly":   {errs: []error{rcode.New(rcode.QueueFull, "odd")}, code: rcode.OutcomeUnknown, sends: 1},
+		"repeatable, then whole":   {repeatable: true, errs: []error{unknown}, code: rcode.OK, sends: 2},
+		"repeatable, then refused": {repeatable: true, errs: []error{unknown, unsent}, code: rcode.OutcomeUnknown, sends: 2},
+		"gate":                     {gate: rcode.New(rcode.KeyRefused, "revoked"), code: rcode.KeyRefused},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			sends := 0
+			r := newRig(t, backend(func(addr string, req route.Request) (route.Response, error) {
+				sends++
+				if sends <= len(tt.errs) {
+					return route.Response{}, tt.errs[sends-1]
+				}
+				return echo(addr, req)
+			}), route.Config{})
+			r.gate.err = tt.gate
+			r.SetInstances(vms(t, 3, 8))
+			_, err := r.do("a", "large", "x", route.WithRepeatable(tt.repeatable))
+			if d := cmp.Diff([]any{tt.code, tt.sends}, []any{rcode.Of(err), sends}); d != "" {
+				t.Errorf("%v: %s", err, d)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/route/service.go
@@ -0,0 +1,344 @@
+package route
+
+import (
+	"container/heap"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/fleet"
+	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
+)
+
+// Constants of admission.
+const (
+	// reservePoll is how often a team at its limit is tried again. Allotments
+	// also grow without a request ending here.
+	reservePoll = 20 * time.Millisecond
+	// maxRetries bounds the requests that wait for a slot for a retry.
+	maxRetries = 64
+	// burst is how long interactive requests may queue without a pause before
+	// their wait is capped: shorter queues are bursts that drain.
+	burst = 500 * time.Millisecond
+	// overload is how long the cap stays after the last refusal it caused.
+	// Without it the queue grows back to its full length every burst.
+	overload = time.Second
+	// waitFactor is the capped wait of interactive requests in moving service
+	// times. A queue of this length keeps every slot busy.
+	waitFactor = 0.75
+)
+
+// lease is one slot of an instance and one reservation of a team.
+type lease struct {
+	inst *instance
+	team string
+	at   clock.Mono
+}
+
+// service is the instances of one service and the requests that wait for them.
+type service struct {
+	name     string
+	router   *Router
+	byID     map[string]*instance
+	heap     instanceHeap
+	capacity int
+	// samples counts service times, so that the first ones weigh more.
+	samples int
+	// latency and deviation are moving figures of the service time in seconds.
+	latency, deviation float64
+	// levels are ordered by class, the first to be served first.
+	levels  []*level
+	retries []*waiter
+}
+
+func newService(r *Router, name string) *service {
+	s := &service{name: name, router: r, byID: map[string]*instance{}}
+	for _, c := range policy.Classes() {
+		s.levels = append(s.levels, newLevel(c))
+	}
+	return s
+}
+
+func (s *service) level(c policy.Class) *level {
+	for _, l := range s.levels {
+		if l.class == c {
+			return l
+		}
+	}
+	return s.levels[len(s.levels)-1]
+}
+
+// touch updates what depends on an instance's state.
+func (s *service) touch(i *instance) {
+	n := i.allowed()
+	s.capacity += n - i.counted
+	i.counted = n
+	i.rescore()
+	if i.index >= 0 {
+		heap.Fix(&s.heap, i.index)
+	}
+}
+
+// setInstances adds, updates and removes instances.
+func (s *service) setInstances(vms []fleet.VM) {
+	seen := make(map[string]bool, len(vms))
+	for _, vm := range vms {
+		seen[vm.ID()] = true
+		i, ok := s.byID[vm.ID()]
+		if ok && i.vm.Addr() != vm.Addr() {
+			s.drop(i)
+			ok = false
+		}
+		if !ok {
+			i = &instance{svc: s, index: -1, limit: float64(slots(vm)), health: healthy}
+			s.byID[vm.ID()] = i
+			heap.Push(&s.heap, i)
+		}
+		if grown := slots(vm) - slots(i.vm); ok && grown > 0 {
+			i.limit += float64(grown)
+		}
+		i.vm = vm
+		i.leaving = vm.State() != fleet.StateLive
+		s.touch(i)
+	}
+	for id, i := range s.byID {
+		if !seen[id] {
+			s.drop(i)
+		}
+	}
+}
+
+// drop forgets an instance. Its running requests finish and keep their team's
+// reservation; one that returns under the same id is a new instance.
+func (s *service) drop(i *instance) {
+	i.removed = true
+	s.touch(i)
+	heap.Remove(&s.heap, i.index)
+	delete(s.byID, i.vm.ID())
+}
+
+// live returns how many instances take new requests or will again.
+func (s *service) live() int {
+	n := 0
+	for _, i := range s.byID {
+		if !i.leaving && slots(i.vm) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// eject takes an instance that fails out of the choice for a growing time. At
+// most half of the instances are out: when all fail, the cause is elsewhere.
+func (s *service) eject(i *instance, now clock.Mono) {
+	if i.health == ejected || i.removed {
+		return
+	}
+	out := 1
+	for _, o := range s.byID {
+		if o.health == ejected {
+			out++
+		}
+	}
+	if out*2 > s.live() {
+		return
+	}
+	d := i.ejectTime()
+	i.ejections++
+	i.health = ejected
+	s.touch(i)
+	s.router.log.Warn("instance ejected", zap.String("service", s.name),
+		zap.String("instance", i.vm.ID()), zap.Int("failures", i.failures), zap.Duration("for", d))
+	s.router.at(now.Add(d), func(now clock.Mono) {
+		if i.health != ejected {
+			return
+		}
+		i.health = probing
+		i.failures = 0
+		s.touch(i)
+		s.dispatch(now)
+	})
+}
+
+// next returns the class to serve next, or nil when no request can start.
+func (s *service) next() *level {
+	for _, l := range s.levels {
+		if len(l.active) > 0 {
+			return l
+		}
+	}
+	return nil
+}
+
+// admit grants a slot at once, queues w or returns why it is refused.
+func (s *service) admit(w *waiter, now clock.Mono) error {
+	team := w.req.grant.Team()
+	l := s.level(w.req.class)
+	f := l.flow(team)
+	if s.next() == nil && len(s.retries) == 0 && !f.blocked {
+		if i := s.heap.pick(nil); i != nil {
+			if s.router.gate.Reserve(team) {
+				s.grant(w, i, now)
+				return nil
+			}
+			s.block(f, now)
+		}
+	}
+	if s.live() == 0 {
+		return rcode.New(rcode.NoRoom, "service %q has no instance", s.name)
+	}
+	if f.tree.len() >= w.req.queue.MaxWaiting() {
+		return rcode.New(rcode.QueueFull, "queue %q: %d requests of team %q wait", w.req.queue.Name(), f.tree.len(), team)
+	}
+	weight := s.router.weight(team)
+	if err := s.feasible(w, l, f, weight, now); err != nil {
+		return err
+	}
+	w.svc, w.enqueued, w.seq = s, now, s.router.nextSeq()
+	w.ready = make(chan struct{}, 1)
+	l.push(w, f, weight, now)
+	s.dispatch(now)
+	return nil
+}
+
+// feasible refuses a request that the estimate says will not make its
+// deadline, and in a lasting overload an interactive one that would wait long.
+func (s *service) feasible(w *waiter, l *level, f *flow, weight float64, now clock.Mono) error {
+	if s.capacity == 0 || s.latency == 0 {
+		return nil
+	}
+	ahead := l.ahead(f, weight, w.req.until)
+	for _, h := range s.levels {
+		if h == l {
+			break
+		}
+		ahead += h.len
+	}
+	wait := float64(ahead+1) * s.latency / float64(s.capacity)
+	if now.Add(seconds(wait+s.latency)) > w.req.until {
+		return rcode.New(rcode.DeadlineUnmet, "service %q: about %.3f s until done", s.name, wait+s.latency)
+	}
+	if l.class != policy.ClassInteractive || l.len < 2 || wait <= waitFactor*s.latency {
+		return nil
+	}
+	if now < l.cappedUntil || now.Sub(l.busySince) > burst {
+		l.cappedUntil = now.Add(overload)
+		return rcode.New(rcode.QueueFull, "service %q is overloaded: about %.3f s of waiting", s.name, wait)
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// dispatch gives free slots to waiting requests.
+func (s *service) dispatch(now clock.Mono) {
+	s.dispatchRetries(now)
+	for {
+		l := s.next()
+		if l == nil {
+			return
+		}
+		f := l.active[0]
+		w := f.tree.first()
+		if w.req.until < now.Add(seconds(s.latency)) {
+			l.remove(w)
+			w.finish(nil, late(w.req, now))
+			continue
+		}
+		i := s.heap.pick(nil)
+		if i == nil {
+			return
+		}
+		if !s.router.gate.Reserve(f.team) {
+			s.block(f, now)
+			continue
+		}
+		l.charge(f)
+		l.remove(w)
+		s.grant(w, i, now)
+	}
+}
+
+func late(req *Request, now clock.Mono) error {
+	if req.until <= now {
+		return rcode.New(rcode.DeadlinePassed, "deadline passed in the queue")
+	}
+	return rcode.New(rcode.DeadlineUnmet, "%v left at the head of the queue", req.until.Sub(now))
+}
+
+func (s *service) dispatchRetries(now clock.Mono) {
+	for n := 0; n < len(s.retries); {
+		w := s.retries[n]
+		i := s.heap.pick(w.avoid)
+		if i == nil || !s.router.gate.Reserve(w.req.grant.Team()) {
+			n++
+			continue
+		}
+		s.retries = slices.Delete(s.retries, n, n+1)
+		s.grant(w, i, now)
+	}
+}
+
+// retry finds a slot on another instance for a request that was sent before.
+func (s *service) retry(w *waiter, now clock.Mono) error {
+	team := w.req.grant.Team()
+	if i := s.heap.pick(w.avoid); i != nil && s.router.gate.Reserve(team) {
+		s.grant(w, i, now)
+		return nil
+	}
+	if len(s.retries) >= maxRetries {
+		return rcode.New(rcode.NoRoom, "%d retries wait", len(s.retries))
+	}
+	w.svc = s
+	w.ready = make(chan struct{}, 1)
+	s.retries = append(s.retries, w)
+	return nil
+}
+
+// abandon takes w out of wherever it waits.
+func (s *service) abandon(w *waiter, now clock.Mono) {
+	if w.flow != nil {
+		w.flow.level.remove(w)
+		s.dispatch(now)
+		return
+	}
+	if n := slices.Index(s.retries, w); n >= 0 {
+		s.retries = slices.Delete(s.retries, n, n+1)
+	}
+}
+
+// grant gives w a slot whose team's reservation was made.
+func (s *service) grant(w *waiter, i *instance, now clock.Mono) {
+	i.held++
+	s.router.running++
+	s.touch(i)
+	w.finish(&lease{inst: i, team: w.req.grant.Team(), at: now}, nil)
+}
+
+func (w *waiter) finish(l *lease, err error) {
+	w.lease, w.err = l, err
+	if w.ready != nil {
+		w.ready <- struct{}{}
+	}
+}
+
+// block stops serving a team that is at its limit until one of its requests
+// ends or the poll time has passed.
+func (s *service) block(f *flow, now clock.Mono) {
+	f.level.block(f)
+	s.router.blocked[f.team] = append(s.router.blocked[f.team], blockedFlow{s, f})
+	s.router.at(now.Add(reservePoll), func(now clock.Mono) { s.router.unblock(f.team, now) })
+}
+
+// release gives back a slot and its reservation.
+func (s *service) release(l *lease, now clock.Mono) {
+	l.inst.held--
+	s.router.running--
+	s.router.gate.Free(l.team)
+	s.touch(l.inst)
+	s.router.unblock(l.team, now)
+	s.dispatch(now)
+}
