Add the stand-ins of kv, vms, worker and backend, and the agent client

Cause: the entry program needs external systems to run against. Change: stand with the subcommands kv, vms, worker and backend; entry/agent as the client of the worker protocol; store.Memory with a bounded change log, which answers a watch below it with ErrCompacted. Before: no stand-ins.

--- /dev/null
+++ b/stand/standkv/kv.go
@@ -0,0 +1,302 @@
+package standkv
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http/httputil"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+	"limpethitch.example/stand/httpd"
+)
+
+// The messages of the JSON gateway: keys and values are base64, 64-bit numbers
+// are strings, empty fields are left out.
+
+type header struct {
+	Revision int64 `json:"revision,string"`
+}
+
+type keyValue struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Mod   int64  `json:"mod_revision,string"`
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end"`
+}
+
+type rangeReply struct {
+	Header header     `json:"header"`
+	KVs    []keyValue `json:"kvs,omitempty"`
+	Count  int        `json:"count,string,omitempty"`
+}
+
+type compare struct {
+	Key    []byte `json:"key"`
+	Target string `json:"target"`
+	Result string `json:"result"`
+	Mod    int64  `json:"mod_revision,string"`
+}
+
+type requestOp struct {
+	Put *struct {
+		Key   []byte `json:"key"`
+		Value []byte `json:"value"`
+		Lease int64  `json:"lease,string"`
+	} `json:"request_put"`
+	Delete *struct {
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end"`
+	} `json:"request_delete_range"`
+}
+
+type txnRequest struct {
+	Compare []compare         `json:"compare"`
+	Success []requestOp       `json:"success"`
+	Failure []json.RawMessage `json:"failure"`
+}
+
+type txnReply struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded,omitempty"`
+}
+
+type watchRequest struct {
+	Create *struct {
+		Key      []byte `json:"key"`
+		RangeEnd []byte `json:"range_end"`
+		Start    int64  `json:"start_revision,string"`
+	} `json:"create_request"`
+}
+
+type event struct {
+	Type string   `json:"type,omitempty"`
+	KV   keyValue `json:"kv"`
+}
+
+type watchResult struct {
+	Header          header  `json:"header"`
+	Created         bool    `json:"created,omitempty"`
+	Canceled        bool    `json:"canceled,omitempty"`
+	CompactRevision int64   `json:"compact_revision,string,omitempty"`
+	Events          []event `json:"events,omitempty"`
+}
+
+type watchReply struct {
+	Result watchResult `json:"result"`
+}
+
+// prefix accepts the two ranges that the adapter uses: one key, or all keys
+// with a prefix.
+func prefix(key, end []byte) (exact, ok bool) {
+	if len(end) == 0 {
+		return true, true
+	}
+	return false, bytes.Equal(end, store.PrefixEnd(string(key)))
+}
+
+func (s *Server) rangeKeys(ctx *fasthttp.RequestCtx) {
+	var req rangeRequest
+	if !httpd.Decode(ctx, &req) {
+		return
+	}
+	exact, ok := prefix(req.Key, req.RangeEnd)
+	if !ok {
+		httpd.Refuse(ctx, fasthttp.StatusBadRequest, "range_end must be empty or the end of the prefix key")
+		return
+	}
+	kvs, rev, err := s.read(ctx, string(req.Key), exact)
+	if err != nil {
+		httpd.Refuse(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
+	out := rangeReply{Header: header{rev}}
+	for _, kv := range kvs {
+		out.KVs = append(out.KVs, keyValue{[]byte(kv.Key()), kv.Value(), kv.ModRevision()})
+	}
+	out.Count = len(out.KVs)
+	httpd.JSON(ctx, fasthttp.StatusOK, out)
+}
+
+// read returns one key or all with a prefix. The revision is read before a
+// single key, so that a watch from it misses no change.
+func (s *Server) read(ctx context.Context, key string, exact bool) ([]store.KV, int64, error) {
+	if !exact {
+		return s.mem.List(ctx, key)
+	}
+	rev := s.mem.Revision()
+	kv, err := s.mem.Get(ctx, key)
+	if rcode.Is(err, rcode.NotFound) {
+		return nil, rev, nil
+	}
+	return []store.KV{kv}, rev, err
+}
+
+func (s *Server) txn(ctx *fasthttp.RequestCtx) {
+	var req txnRequest
+	if !httpd.Decode(ctx, &req) {
+		return
+	}
+	t, owners, err := req.txn()
+	if err != nil {
+		httpd.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	s.writes.Lock()
+	defer s.writes.Unlock()
+	if !s.leases.known(owners) {
+		httpd.Refuse(ctx, fasthttp.StatusNotFound, "requested lease not found")
+		return
+	}
+	res, err := s.commit(ctx, t)
+	if err != nil {
+		httpd.Refuse(ctx, fasthttp.StatusInternalServerError, err.Error())
+		return
+	}
+	if res.Done() {
+		s.leases.attach(t, owners)
+	}
+	httpd.JSON(ctx, fasthttp.StatusOK, txnReply{Header: header{res.Revision()}, Succeeded: res.Done()})
+}
+
+// txn converts the request; it also returns the lease of each key put.
+func (r txnRequest) txn() (*store.Txn, map[string]int64, error) {
+	if len(r.Failure) > 0 {
+		return nil, nil, errors.New("failure is not served")
+	}
+	t, owners := store.NewTxn(), map[string]int64{}
+	for _, c := range r.Compare {
+		if c.Target != "MOD" || c.Result != "EQUAL" {
+			return nil, nil, errors.New("only MOD EQUAL is served")
+		}
+		t.If(string(c.Key), c.Mod)
+	}
+	seen := map[string]bool{}
+	for _, o := range r.Success {
+		var key []byte
+		switch {
+		case o.Put != nil && len(o.Put.Value) > store.MaxValue:
+			return nil, nil, errors.New("request is too large")
+		case o.Put != nil:
+			key = o.Put.Key
+			t.Put(string(key), o.Put.Value)
+			owners[string(key)] = o.Put.Lease
+		case o.Delete != nil && len(o.Delete.RangeEnd) == 0:
+			key = o.Delete.Key
+			t.Delete(string(key))
+		default:
+			return nil, nil, errors.New("only request_put and request_delete_range of one key are served")
+		}
+		if len(key) == 0 || seen[string(key)] {
+			return nil, nil, errors.New("key is not provided or given twice in the transaction")
+		}
+		seen[string(key)] = true
+	}
+	return t, owners, nil
+}
+
+// commit runs t and records it; the caller holds s.writes.
+func (s *Server) commit(ctx context.Context, t *store.Txn) (store.Result, error) {
+	before := s.mem.Revision()
+	res, err := s.mem.Commit(ctx, t)
+	if err != nil || res.Revision() == before {
+		return res, err
+	}
+	at := s.clk.Wall()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range t.Ops() {
+		s.history.add(res.Revision(), at, o)
+	}
+	return res, nil
+}
+
+func (s *Server) watch(ctx *fasthttp.RequestCtx) {
+	var req watchRequest
+	if !httpd.Decode(ctx, &req) {
+		return
+	}
+	if req.Create == nil {
+		httpd.Refuse(ctx, fasthttp.StatusBadRequest, "create_request is missing")
+		return
+	}
+	key, from := string(req.Create.Key), req.Create.Start
+	exact, ok := prefix(req.Create.Key, req.Create.RangeEnd)
+	if !ok {
+		httpd.Refuse(ctx, fasthttp.StatusBadRequest, "range_end must be empty or the end of the prefix key")
+		return
+	}
+	if from <= 0 {
+		from = s.mem.Revision() + 1
+	}
+	// The connection is taken over, since a handler that only writes would not
+	// notice that the client has gone before the next change.
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { s.stream(c, key, exact, from) })
+}
+
+func (s *Server) stream(c net.Conn, key string, exact bool, from int64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		_, _ = io.Copy(io.Discard, c)
+		cancel()
+	}()
+	s.mu.Lock()
+	s.counts.watches++
+	upset := s.upset
+	down := s.control.Down
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.counts.watches--
+		s.mu.Unlock()
+	}()
+	if down {
+		return
+	}
+	go func() {
+		select {
+		case <-upset:
+			_ = c.Close()
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	buf := bufio.NewWriter(c)
+	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
+	out := httputil.NewChunkedWriter(buf)
+	send := func(r watchResult) {
+		r.Header = header{s.mem.Revision()}
+		if json.NewEncoder(out).Encode(watchReply{r}) != nil || buf.Flush() != nil {
+			cancel()
+		}
+	}
+	send(watchResult{Created: true})
+	err := s.mem.Watch(ctx, key, from, func(ch store.Change) {
+		if exact && ch.KV().Key() != key {
+			return
+		}
+		e := event{KV: keyValue{[]byte(ch.KV().Key()), ch.KV().Value(), ch.KV().ModRevision()}}
+		if ch.Deleted() {
+			e.Type = "DELETE"
+		}
+		send(watchResult{Events: []event{e}})
+	})
+	if errors.Is(err, store.ErrCompacted) {
+		send(watchResult{Canceled: true, CompactRevision: s.mem.Compacted() + 1})
+	}
+	_ = out.Close()
+	_, _ = buf.WriteString("\r\n")
+	_ = buf.Flush()
+}
--- /dev/null
+++ b/stand/vmlist/vmlist.go
@@ -0,0 +1,162 @@
+// Package vmlist is the stand-in of the platform's lagging list of VMs, in the
+// form of Prometheus HTTP service discovery (http_sd).
+//
+// # Usage
+//
+//	srv := vmlist.New(vmlist.Config{Lag: 2 * time.Second}, clock.New())
+//	ln, err := httpd.Listen("127.0.0.1:9300")
+//	err = srv.Serve(ln)
+//
+// PUT /vms/{id} registers one group, POST /vms/{id}/leaving marks it, DELETE
+// /vms/{id} ends it. GET /vms shows the list as it was Lag ago.
+package vmlist
+
+import (
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/fleet"
+	"limpethitch.example/stand/httpd"
+)
+
+// Config holds the settings of the list.
+type Config struct {
+	// Lag is how far the list shown is behind the changes made to it.
+	Lag time.Duration
+}
+
+type change struct {
+	at      clock.Mono
+	id      string
+	group   fleet.Group
+	removed bool
+}
+
+// Server is the list with its HTTP interface.
+type Server struct {
+	*httpd.Server
+	cfg Config
+	clk clock.Clock
+
+	mu      sync.Mutex
+	current map[string]fleet.Group
+	ended   map[string]bool
+	shown   map[string]fleet.Group
+	pending []change
+}
+
+// New returns an empty list.
+func New(cfg Config, clk clock.Clock) *Server {
+	s := &Server{
+		cfg: cfg, clk: clk,
+		current: map[string]fleet.Group{}, ended: map[string]bool{}, shown: map[string]fleet.Group{},
+	}
+	s.Server = httpd.New(s.handle)
+	return s
+}
+
+func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	path := strings.TrimPrefix(string(ctx.Path()), "/vms")
+	id, action, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	switch method := string(ctx.Method()); {
+	case method == fasthttp.MethodGet && path == "":
+		s.list(ctx)
+	case method == fasthttp.MethodPut && id != "" && action == "":
+		s.register(ctx, id)
+	case method == fasthttp.MethodDelete && id != "" && action == "":
+		s.remove(ctx, id)
+	case method == fasthttp.MethodPost && id != "" && action == "leaving":
+		s.leaving(ctx, id)
+	default:
+		httpd.Refuse(ctx, fasthttp.StatusNotFound, "no such call")
+	}
+}
+
+func (s *Server) list(ctx *fasthttp.RequestCtx) {
+	until := s.clk.Now().Add(-s.cfg.Lag)
+	n := 0
+	for n < len(s.pending) && s.pending[n].at <= until {
+		s.apply(s.pending[n])
+		n++
+	}
+	s.pending = slices.Delete(s.pending, 0, n)
+	groups := make([]fleet.Group, 0, len(s.shown))
+	for _, id := range slices.Sorted(maps.Keys(s.shown)) {
+		groups = append(groups, s.shown[id])
+	}
+	httpd.JSON(ctx, fasthttp.StatusOK, groups)
+}
+
+func (s *Server) apply(c change) {
+	if c.removed {
+		delete(s.shown, c.id)
+		return
+	}
+	s.shown[c.id] = c.group
+}
+
+// register refuses an id that ended: readers of the list rely on a VM that
+// left it never running again.
+func (s *Server) register(ctx *fasthttp.RequestCtx, id string) {
+	var g fleet.Group
+	if !httpd.Decode(ctx, &g) {
+		return
+	}
+	if s.ended[id] {
+		httpd.Refuse(ctx, fasthttp.StatusConflict, "the VM has ended")
+		return
+	}
+	if g.Labels == nil {
+		g.Labels = map[string]string{}
+	}
+	g.Labels["id"] = id
+	if err := check(g); err != nil {
+		httpd.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
+		return
+	}
+	s.current[id] = g
+	s.pending = append(s.pending, change{at: s.clk.Now(), id: id, group: g})
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func check(g fleet.Group) error {
+	doc, err := json.Marshal([]fleet.Group{g})
+	if err != nil {
+		return err
+	}
+	_, err = fleet.Parse(doc)
+	return err
+}
+
+func (s *Server) remove(ctx *fasthttp.RequestCtx, id string) {
+	if _, ok := s.current[id]; !ok {
+		httpd.Refuse(ctx, fasthttp.StatusNotFound, "no such VM")
+		return
+	}
+	delete(s.current, id)
+	s.ended[id] = true
+	s.pending = append(s.pending, change{at: s.clk.Now(), id: id, removed: true})
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+func (s *Server) leaving(ctx *fasthttp.RequestCtx, id string) {
+	g, ok := s.current[id]
+	if !ok {
+		httpd.Refuse(ctx, fasthttp.StatusNotFound, "no such VM")
+		return
+	}
+	g.Labels = maps.Clone(g.Labels)
+	g.Labels["state"] = string(fleet.StateLeaving)
+	s.current[id] = g
+	s.pending = append(s.pending, change{at: s.clk.Now(), id: id, group: g})
+	ctx.SetStatusCode(fasthttp.StatusNoContent)
+}
--- /dev/null
+++ b/stand/vmlist/vmlist_test.go
@@ -0,0 +1,109 @@
+package vmlist_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/valyala/fasthttp"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/fleet"
+	"limpethitch.example/stand/httpd"
+	"limpethitch.example/stand/vmlist"
+)
+
+type rig struct {
+	clk *clock.Fake
+	url string
+	src *fleet.Source
+}
+
+func newRig(t *testing.T) rig {
+	t.Helper()
+	clk := clock.NewFake(time.UnixMilli(1_800_000_000_000))
+	srv := vmlist.New(vmlist.Config{Lag: 2 * time.Second}, clk)
+	ln, err := httpd.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Close() })
+	url := "http://" + ln.Addr().String() + "/vms"
+	return rig{clk: clk, url: url, src: fleet.New(url)}
+}
+
+func (r rig) call(t *testing.T, method, path string, g *fleet.Group) int {
+	t.Helper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(r.url + path)
+	req.Header.SetMethod(method)
+	if g != nil {
+		body, err := json.Marshal(g)
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.SetBody(body)
+	}
+	if err := fasthttp.Do(req, resp); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode()
+}
+
+// states returns the state of each VM that the list shows.
+func (r rig) states(t *testing.T) map[string]fleet.State {
+	t.Helper()
+	list, err := r.src.Read(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := map[string]fleet.State{}
+	for _, v := range list.Role(fleet.RoleWorker) {
+		out[v.ID()] = v.State()
+	}
+	return out
+}
+
+func worker() *fleet.Group {
+	return &fleet.Group{
+		Targets: []string{"127.0.0.1:9400"},
+		Labels:  map[string]string{"role": "worker", "data_centre": "a", "cpu_milli": "32000"},
+	}
+}
+
+// Guards against a list that shows a change before or long after its lag.
+func TestLag(t *testing.T) {
+	r := newRig(t)
+	steps := []struct {
+		method, path string
+		group        *fleet.Group
+		before       map[string]fleet.State
+		after        map[string]fleet.State
+	}{
+		{"PUT", "/w1", worker(), map[string]fleet.State{}, map[string]fleet.State{"w1": fleet.StateLive}},
+		{
+			"POST", "/w1/leaving", nil,
+			map[string]fleet.State{"w1": fleet.StateLive},
+			map[string]fleet.State{"w1": fleet.StateLeaving},
+		},
+		{"DELETE", "/w1", nil, map[string]fleet.State{"w1": fleet.StateLeaving}, map[string]fleet.State{}},
+	}
+	for _, s := range steps {
+		if d := cmp.Diff(fasthttp.StatusNoContent, r.call(t, s.method, s.path, s.group)); d != "" {
+			t.Fatalf("%s %s:\n%s", s.method, s.path, d)
+		}
+		r.clk.Advance(2*time.Second - 1)
+		if d := cmp.Diff(s.before, r.states(t)); d != "" {
+			t.Errorf("%s %s, before the lag:\n%s", s.method, s.path, d)
+		}
+		r.clk.Advance(1)
+		if d := cmp.Diff(s.after, r.states(t)); d != "" {
+			t.Errorf("%s %s, after the lag:\n%s", s.method, s.path, d)
+		}
+	}
+}
