--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -208,3 +208,8 @@
 	}
 	return Parse(body)
 }
+
+// NewBackend returns a backend server as an adapter or a caller builds it.
+func NewBackend(id, addr, service string, slots, conns int) VM {
+	return VM{id: id, addr: addr, service: service, role: RoleBackend, state: StateLive, slots: slots, conns: conns}
+}
--- /dev/null
+++ b/core/policy/identify.go
@@ -0,0 +1,23 @@
+package policy
+
+import (
+	"strings"
+
+	"limpethitch.example/core/rcode"
+)
+
+// Identify checks a secret without a queue, for reading or cancelling a job.
+func (b *Bundle) Identify(secret string) (Grant, error) {
+	if secret == "" {
+		return Grant{}, rcode.New(rcode.KeyMissing, "a key is needed")
+	}
+	id, part, _ := strings.Cut(secret, ".")
+	e, ok := b.keys[id]
+	if !ok || e.revoked || !e.matches(part) {
+		return Grant{}, rcode.New(rcode.KeyRefused, "the key is not known or is revoked")
+	}
+	return Grant{team: e.team, key: id}, nil
+}
+
+// Comment returns what the author wrote about the version.
+func (b *Bundle) Comment() string { return b.doc.Comment }
--- /dev/null
+++ b/entry/peer/client.go
@@ -0,0 +1,123 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"limpethitch.example/core/rcode"
+)
+
+const (
+	// dialTimeout bounds connecting; data centres are within 2 ms of each other.
+	dialTimeout = time.Second
+	// idleExpiry closes connections that no call used for this long.
+	idleExpiry = 60 * time.Second
+	// maxIdlePerVM bounds the idle connections kept for each VM.
+	maxIdlePerVM = 64
+)
+
+// Clients calls other entry VMs by address over pooled connections. It is safe
+// for concurrent use.
+type Clients struct {
+	secret Secret
+	pool   *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClients returns a pool without connections.
+func NewClients(secret Secret) *Clients {
+	opts := drpcpool.Options{Expiration: idleExpiry, KeyCapacity: maxIdlePerVM}
+	return &Clients{secret: secret, pool: drpcpool.New[string, drpcpool.Conn](opts)}
+}
+
+// Close closes the idle connections.
+func (c *Clients) Close() error { return c.pool.Close() }
+
+// notSent marks an error of connecting: the call never left this VM.
+type notSent struct{ err error }
+
+func (e notSent) Error() string { return e.err.Error() }
+
+func (c *Clients) dial(ctx context.Context, addr string) (drpcpool.Conn, error) {
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, notSent{err}
+	}
+	if err := c.secret.handshake(conn, "client", "server"); err != nil {
+		_ = conn.Close()
+		return nil, notSent{err}
+	}
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{Manager: managerOptions()}), nil
+}
+
+// call runs one RPC and states in the error's code whether it may have arrived.
+func call[Q, R any](ctx context.Context, c *Clients, addr string, req Q,
+	rpc func(DRPCPeerClient, context.Context, Q) (R, error),
+) (R, error) {
+	dialErr := error(nil)
+	conn := c.pool.Get(ctx, addr, func(ctx context.Context, addr string) (drpcpool.Conn, error) {
+		cn, err := c.dial(ctx, addr)
+		dialErr = err
+		return cn, err
+	})
+	defer func() { _ = conn.Close() }()
+	out, err := rpc(NewDRPCPeerClient(drpc.Conn(conn)), ctx, req)
+	switch {
+	case err == nil:
+		return out, nil
+	case dialErr != nil:
+		return out, rcode.Wrap(dialErr, rcode.PeerUnreachable, "peer.call %s", addr)
+	default:
+		return out, rcode.Wrap(err, rcode.OutcomeUnknown, "peer.call %s", addr)
+	}
+}
+
+// Serve runs a request on a shard of the VM at addr.
+func (c *Clients) Serve(ctx context.Context, addr string, req *ServeRequest) (*ServeReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Serve)
+}
+
+// Submit accepts a job on its home shard.
+func (c *Clients) Submit(ctx context.Context, addr string, req *SubmitRequest) (*JobReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Submit)
+}
+
+// Job reads or cancels a job on its home shard.
+func (c *Clients) Job(ctx context.Context, addr string, req *JobRequest) (*JobReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Job)
+}
+
+// Offer asks a shard to run tasks of a job that is kept elsewhere.
+func (c *Clients) Offer(ctx context.Context, addr string, req *OfferRequest) (*OfferReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Offer)
+}
+
+// Tasks reads or stops tasks that a shard took by Offer.
+func (c *Clients) Tasks(ctx context.Context, addr string, req *TasksRequest) (*TasksReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Tasks)
+}
+
+// Own carries a message of shard ownership.
+func (c *Clients) Own(ctx context.Context, addr string, req *OwnRequest) (*OwnReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Own)
+}
+
+// Yield asks for idle allotment of a team.
+func (c *Clients) Yield(ctx context.Context, addr string, req *YieldRequest) (*YieldReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Yield)
+}
+
+// Bundle fetches or brings the newest signed policy bundle.
+func (c *Clients) Bundle(ctx context.Context, addr string, req *BundleMessage) (*BundleMessage, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Bundle)
+}
+
+// Handover brings the memory state of a shard to its next owner.
+func (c *Clients) Handover(ctx context.Context, addr string, req *HandoverRequest) (*HandoverReply, error) {
+	return call(ctx, c, addr, req, DRPCPeerClient.Handover)
+}
--- a/entry/place/job.go
+++ b/entry/place/job.go
@@ -13,16 +13,21 @@
 // Outcome says how a task ended.
 type Outcome string
 
-// Outcomes of a task. A lost task is one whose worker and lease are gone; a
-// refused one never ran.
+// Outcomes of a task. A lost task is one whose worker and lease are gone. A
+// refused one never ran because of its worker, a withdrawn one was never sent.
 const (
 	OutcomeDone    Outcome = "done"
 	OutcomeFailed  Outcome = "failed"
 	OutcomeLost    Outcome = "lost"
 	OutcomeStopped Outcome = "stopped"
 	OutcomeRefused Outcome = "refused"
+
+	OutcomeWithdrawn Outcome = "withdrawn"
 )
 
+// mayHaveRun reports whether some of the task's work may have been done.
+func (o Outcome) mayHaveRun() bool { return o != OutcomeRefused && o != OutcomeWithdrawn }
+
 // Reason says why a job waits.
 type Reason string
 
@@ -103,11 +108,11 @@
 func (j Job) Priority() int { return j.priority }
 
 // TaskID returns the id of a job's member.
-func TaskID(job string, member int) string { return job + "/" + strconv.Itoa(member) }
+func TaskID(job string, member int) string { return job + "." + strconv.Itoa(member) }
 
 // SplitTaskID returns the job and member of a task id.
 func SplitTaskID(task string) (job string, member int, ok bool) {
-	i := strings.LastIndexByte(task, '/')
+	i := strings.LastIndexByte(task, '.')
 	if i < 0 {
 		return "", 0, false
 	}
--- a/entry/place/tasks.go
+++ b/entry/place/tasks.go
@@ -275,7 +275,7 @@
 		}
 	case OutcomeFailed, OutcomeRefused:
 		s.blame(t)
-	case OutcomeLost, OutcomeStopped:
+	case OutcomeLost, OutcomeStopped, OutcomeWithdrawn:
 	}
 }
 
@@ -289,7 +289,7 @@
 		j.finished++
 		return
 	}
-	if j.spec.class == policy.ClassGang && j.running > 0 && !j.restart && outcome != OutcomeRefused {
+	if j.spec.class == policy.ClassGang && j.running > 0 && !j.restart && outcome.mayHaveRun() {
 		// The other members cannot go on without this one.
 		j.restart = true
 		s.stops = append(s.stops, j)
@@ -298,7 +298,7 @@
 		s.end(j, rcode.JobFailed)
 		return
 	}
-	if !j.spec.repeatable && outcome != OutcomeRefused {
+	if !j.spec.repeatable && outcome.mayHaveRun() {
 		code := rcode.OutcomeUnknown
 		if outcome == OutcomeFailed {
 			code = rcode.JobFailed
@@ -322,7 +322,7 @@
 // retry lets a member wait again, after a delay when it failed.
 func (s *State) retry(t *task, outcome Outcome) {
 	j := t.job
-	if outcome != OutcomeFailed && outcome != OutcomeRefused {
+	if outcome == OutcomeLost || outcome == OutcomeStopped {
 		j.retry = append(j.retry, t.member)
 		return
 	}
