--- /dev/null
+++ b/entry/quota/quota.go
@@ -0,0 +1,219 @@
+// Package quota keeps the upper limits of teams: the ledger of one shard, the
+// record of a team's allotments in the store, and the loop that transfers
+// amounts between shards.
+//
+// # Usage
+//
+//	led := quota.NewLedger()
+//	mov, err := quota.New(cfg, quota.Deps{Ledger: led, Store: st, Clock: clk, Log: log, Peers: peers, Rand: rng})
+//	supervisor.Add(mov)
+//	mov.SetLimit("checkout", limit, bundleVersion)
+//	// Recovery counts what already runs:
+//	led.Adopt("checkout", amount)
+//	// Before each start:
+//	if !led.Reserve("checkout", amount) { mov.Want("checkout", amount) }
+//	led.Start("checkout", amount)
+//	led.Stop("checkout", amount)
+//
+// # Rules
+//
+// The sum of all parts never exceeds the limit, and a shard starts work only
+// within its own part. A lowered limit scales the parts down; what was taken
+// from a part stays in the record as pending until the shard's owner shows
+// that it does not run any more, so that nobody else is given it before that.
+// While parts and pending amounts together exceed the limit, the team starts
+// nothing.
+//
+// Every write of a shard compares the shard's epoch key, so that a former
+// owner cannot lower the part that its successor has adopted.
+package quota
+
+import (
+	"encoding/json"
+	"math/bits"
+	"sort"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/rcode"
+)
+
+// Prefix is the store prefix of all team records.
+const Prefix = "quota/"
+
+// Key returns the store key of a team's record.
+func Key(team string) string { return Prefix + team }
+
+// Team is a team's limit and its division over the shards. Its functions
+// return a changed copy.
+type Team struct {
+	limit   amount.Vec
+	version int64
+	parts   map[string]amount.Vec
+	pending map[string]amount.Vec
+}
+
+// NewTeam returns a record whose whole limit is in the free pool; version is
+// that of the bundle.
+func NewTeam(limit amount.Vec, version int64) Team { return Team{limit: limit, version: version} }
+
+type teamDoc struct {
+	Limit   amount.Vec            `json:"limit"`
+	Version int64                 `json:"version"`
+	Parts   map[string]amount.Vec `json:"parts"`
+	Pending map[string]amount.Vec `json:"pending,omitempty"`
+}
+
+// MarshalJSON writes the record.
+func (t Team) MarshalJSON() ([]byte, error) {
+	return json.Marshal(teamDoc{Limit: t.limit, Version: t.version, Parts: t.parts, Pending: t.pending})
+}
+
+// UnmarshalJSON reads the record.
+func (t *Team) UnmarshalJSON(b []byte) error {
+	var d teamDoc
+	if err := json.Unmarshal(b, &d); err != nil {
+		return rcode.Wrap(err, rcode.Internal, "quota.Team")
+	}
+	*t = Team{limit: d.Limit, version: d.Version, parts: d.Parts, pending: d.Pending}
+	return nil
+}
+
+// Limit returns the upper limit.
+func (t Team) Limit() amount.Vec { return t.limit }
+
+// Version returns the bundle version that set the limit.
+func (t Team) Version() int64 { return t.version }
+
+// Part returns the allotment of a shard.
+func (t Team) Part(shard string) amount.Vec { return t.parts[shard] }
+
+// Pending returns what may still run on a shard beyond its part.
+func (t Team) Pending(shard string) amount.Vec { return t.pending[shard] }
+
+// Shards returns the shards that have a part, in order.
+func (t Team) Shards() []string {
+	out := make([]string, 0, len(t.parts))
+	for s := range t.parts {
+		out = append(out, s)
+	}
+	sort.Strings(out)
+	return out
+}
+
+func sum(m map[string]amount.Vec) amount.Vec {
+	var s amount.Vec
+	for _, v := range m {
+		s = s.Add(v)
+	}
+	return s
+}
+
+// Used returns the sum of all parts and pending amounts.
+func (t Team) Used() amount.Vec { return sum(t.parts).Add(sum(t.pending)) }
+
+// Free returns the free pool.
+func (t Team) Free() amount.Vec { return t.limit.Sub(t.Used()).Positive() }
+
+// Blocked reports whether more than the limit may still be running, so that the
+// team must start nothing.
+func (t Team) Blocked() bool { return !t.Used().Fits(t.limit) }
+
+func (t Team) clone() Team {
+	c := t
+	c.parts, c.pending = copyOf(t.parts), copyOf(t.pending)
+	return c
+}
+
+func copyOf(m map[string]amount.Vec) map[string]amount.Vec {
+	c := make(map[string]amount.Vec, len(m)+1)
+	for k, v := range m {
+		c[k] = v
+	}
+	return c
+}
+
+func set(m map[string]amount.Vec, shard string, v amount.Vec) {
+	if v.IsZero() {
+		delete(m, shard)
+		return
+	}
+	m[shard] = v
+}
+
+// Take moves up to want from the free pool to a shard and returns what it got.
+func (t Team) Take(shard string, want amount.Vec) (Team, amount.Vec) {
+	got := want.Positive().Min(t.Free())
+	c := t.clone()
+	set(c.parts, shard, t.parts[shard].Add(got))
+	return c, got
+}
+
+// Move transfers v between shards; it is refused when the donor has less.
+func (t Team) Move(from, to string, v amount.Vec) (Team, bool) {
+	if v.Negative() || !v.Fits(t.parts[from]) {
+		return t, false
+	}
+	c := t.clone()
+	set(c.parts, from, c.parts[from].Sub(v))
+	set(c.parts, to, c.parts[to].Add(v))
+	return c, true
+}
+
+// Return moves v from a shard to the free pool; it is refused when the shard
+// has less.
+func (t Team) Return(shard string, v amount.Vec) (Team, bool) {
+	if v.Negative() || !v.Fits(t.parts[shard]) {
+		return t, false
+	}
+	c := t.clone()
+	set(c.parts, shard, c.parts[shard].Sub(v))
+	return c, true
+}
+
+// WithLimit applies the limit of a newer bundle. Parts that no longer fit are
+// scaled down; the difference becomes pending.
+func (t Team) WithLimit(limit amount.Vec, version int64) Team {
+	if version <= t.version {
+		return t
+	}
+	c := t.clone()
+	c.limit, c.version = limit, version
+	total := sum(t.parts)
+	for shard, part := range t.parts {
+		kept := scale(part, limit, total)
+		set(c.parts, shard, kept)
+		set(c.pending, shard, c.pending[shard].Add(part.Sub(kept)))
+	}
+	return c
+}
+
+// Settle records what really is in use on a shard: pending amounts beyond that
+// become free.
+func (t Team) Settle(shard string, used amount.Vec) Team {
+	over := used.Sub(t.parts[shard]).Positive()
+	c := t.clone()
+	set(c.pending, shard, t.pending[shard].Min(over))
+	return c
+}
+
+// scale returns part x limit / total for each resource whose total exceeds the
+// limit, rounded down so that the sum stays within it.
+func scale(part, limit, total amount.Vec) amount.Vec {
+	limit = limit.Positive()
+	return amount.New(
+		scaleOne(part.CPUMilli(), limit.CPUMilli(), total.CPUMilli()),
+		scaleOne(part.MemoryMiB(), limit.MemoryMiB(), total.MemoryMiB()),
+		scaleOne(part.Accelerators(), limit.Accelerators(), total.Accelerators()),
+		scaleOne(part.Requests(), limit.Requests(), total.Requests()),
+	)
+}
+
+func scaleOne(part, limit, total int64) int64 {
+	if total <= limit || part <= 0 {
+		return part
+	}
+	// total > limit >= 0, so the quotient is at most part and fits.
+	hi, lo := bits.Mul64(uint64(part), uint64(limit))
+	q, _ := bits.Div64(hi, lo, uint64(total))
+	return int64(q)
+}
