--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -393,6 +393,19 @@
 	return s
 }
 
+// Load returns the free slots and the queue of requests, without the workers.
+func (c *Cell) Load() Summary {
+	stats := c.slots.Stats()
+	s := Summary{slots: stats.Free(), waiting: stats.Waiting()}
+	if c.frozen.Load() {
+		s.slots = 0
+	}
+	return s
+}
+
+// Accepts reports whether the shard takes submissions.
+func (c *Cell) Accepts() bool { return c.loaded.Load() && !c.frozen.Load() }
+
 func (c *Cell) inService() bool {
 	b := c.d.Current()
 	return b != nil && b.InService(c.cfg.DataCentre)
--- /dev/null
+++ b/entry/cell/handover.go
@@ -0,0 +1,132 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/jobs"
+	"limpethitch.example/entry/place"
+)
+
+const (
+	// settleWithin bounds how long a planned stop waits for starts under way.
+	settleWithin = 1500 * time.Millisecond
+	// settleLook is the pause between two looks at them.
+	settleLook = 10 * time.Millisecond
+)
+
+// handover is the memory state that a successor cannot read elsewhere.
+type handover struct {
+	IDs   [][]byte              `json:"ids"`
+	Saved map[string]checkpoint `json:"saved,omitempty"`
+}
+
+type checkpoint struct {
+	MS int64 `json:"ms"`
+}
+
+// Freeze ends new starts and sends, and waits until those under way are settled
+// and the job records are kept.
+func (c *Cell) Freeze(ctx context.Context) error {
+	c.frozen.Store(true)
+	ctx, cancel := context.WithTimeout(ctx, settleWithin)
+	defer cancel()
+	for !c.settled() {
+		select {
+		case <-ctx.Done():
+			return rcode.New(rcode.Draining, "cell.Freeze: shard %s did not settle in time", c.cfg.Shard)
+		case <-c.d.Clock.After(settleLook):
+		}
+	}
+	return nil
+}
+
+func (c *Cell) settled() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range c.runs {
+		if r.state == runStarting {
+			return false
+		}
+	}
+	for id := range c.jobs {
+		if !c.jour.IsKept(id) {
+			return false
+		}
+	}
+	return c.slots.Stats().Running() == 0
+}
+
+// Thaw goes on after a handover that did not take place.
+func (c *Cell) Thaw() {
+	c.frozen.Store(false)
+	c.wake()
+}
+
+// Export returns the state for the next owner of a frozen shard.
+func (c *Cell) Export() ([]byte, error) {
+	ids, err := c.ids.Export()
+	if err != nil {
+		return nil, rcode.Wrap(err, rcode.Internal, "cell.Export")
+	}
+	out := handover{IDs: ids, Saved: map[string]checkpoint{}}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, h := range c.jobs {
+		for m, ms := range h.saved {
+			out.Saved[place.TaskID(id, m)] = checkpoint{MS: ms}
+		}
+	}
+	body, err := json.Marshal(out)
+	return body, rcode.Wrap(err, rcode.Internal, "cell.Export")
+}
+
+// Import takes the state of the former owner.
+func (c *Cell) Import(state []byte) error {
+	var in handover
+	if err := json.Unmarshal(state, &in); err != nil {
+		return rcode.Wrap(err, rcode.BadRequest, "cell.Import")
+	}
+	for _, part := range in.IDs {
+		if err := c.ids.Import(part); err != nil {
+			return rcode.Wrap(err, rcode.BadRequest, "cell.Import")
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for task, at := range in.Saved {
+		job, member, ok := place.SplitTaskID(task)
+		if h := c.jobs[job]; ok && h != nil && member < jobs.MaxMembers {
+			h.saved[member] = max(h.saved[member], at.MS)
+		}
+	}
+	return nil
+}
+
+// Drain waits until no request of the shard is under way.
+func (c *Cell) Drain(ctx context.Context) error {
+	if err := c.ids.Drain(ctx); err != nil {
+		return err
+	}
+	return c.slots.Drain(ctx)
+}
+
+// Allotments returns what each team may run on the shard, for a standby that has
+// to act while the store is down. No transfer can take place meanwhile.
+func (c *Cell) Allotments() map[string]amount.Vec { return c.led.book.Allotments() }
+
+// Assume sets allotments that the former owner stated.
+func (c *Cell) Assume(allotments map[string]amount.Vec) {
+	for team, v := range allotments {
+		c.led.book.Set(team, v, false)
+	}
+}
+
+// Yield gives idle allotment of a team to another shard.
+func (c *Cell) Yield(ctx context.Context, to, team string, want amount.Vec) error {
+	_, err := c.mov.Yield(ctx, to, team, want)
+	return err
+}
--- /dev/null
+++ b/entry/cell/recover.go
@@ -0,0 +1,104 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/jobs"
+	"limpethitch.example/entry/owner"
+	"limpethitch.example/entry/place"
+)
+
+// loadRetry is the pause between two attempts to read the job records.
+const loadRetry = 500 * time.Millisecond
+
+// load reads the job records, then keeps the journal. While the store is down
+// an acting standby answers requests and renews leases, but knows no jobs.
+func (c *Cell) load(ctx context.Context) {
+	for ctx.Err() == nil {
+		if c.d.Fence() != 0 {
+			records, err := c.jour.Load(ctx)
+			if err == nil {
+				c.take(records)
+				break
+			}
+			c.d.Log.Warn("job records not read", logs.Err(err)...)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.d.Clock.After(loadRetry):
+		}
+	}
+	c.logEnd("journal", c.jour.Serve(ctx))
+}
+
+func (c *Cell) take(records []*jobs.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, r := range records {
+		h := newHeld(r)
+		h.asking = !r.State.Final()
+		if r.State.Final() {
+			close(h.done)
+		}
+		c.jobs[r.ID] = h
+	}
+	c.loaded.Store(true)
+	c.d.Log.Info("shard read its jobs", zap.Int("jobs", len(records)), zap.String("how", string(c.how)))
+	c.recoverLocked()
+}
+
+// recoverLocked queues the loaded jobs once it is known what of them runs: when
+// the list of every worker is in, or the worker's leases have surely lapsed.
+func (c *Cell) recoverLocked() {
+	if c.recovered.Load() || !c.loaded.Load() {
+		return
+	}
+	now := c.d.Clock.Now()
+	fresh := c.how == owner.HowFresh
+	for _, n := range c.nodes {
+		if !n.listed && !fresh && now.Sub(c.began) <= TaskLease+2*ClockError+startTimeout {
+			return
+		}
+	}
+	if len(c.nodes) == 0 && !fresh && now.Sub(c.began) < 2*renewEvery {
+		return // The list of workers is not in yet.
+	}
+	c.recovered.Store(true)
+	c.mov.Recovered()
+	for _, h := range c.jobs {
+		if h.asking && h.rec.Delegated != "" {
+			c.resumeRemoteLocked(h)
+		} else if h.asking && !h.rec.State.Final() {
+			c.resumeLocked(h)
+		}
+	}
+	c.d.Log.Info("shard recovered", zap.Int("jobs", len(c.jobs)), zap.Int("tasks", len(c.runs)),
+		zap.Duration("after", now.Sub(c.began)))
+}
+
+// resumeLocked queues what is left of a job. Of a job that may not be repeated
+// and was attempted, members that neither run nor ended well have an unknown
+// outcome.
+func (c *Cell) resumeLocked(h *held) {
+	if h.rec.Attempted && !h.rec.Spec.Repeatable {
+		for m := range h.rec.Spec.Members {
+			if !h.rec.IsFinished(m) && c.runs[place.TaskID(h.rec.ID, m)] == nil {
+				c.stopLocked(h, jobs.StateUnknown, rcode.OutcomeUnknown, "the shard changed its owner while the job may have run")
+				return
+			}
+		}
+	}
+	c.queueLocked(h)
+}
+
+// recoveredLongAgo reports whether results for other shards had their time to be
+// asked for.
+func (c *Cell) recoveredLongAgo() bool {
+	return c.d.Clock.Now().Sub(c.began) > jobs.Kept
+}
--- /dev/null
+++ b/entry/cell/remote.go
@@ -0,0 +1,276 @@
+package cell
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/jobs"
+	"limpethitch.example/entry/place"
+)
+
+// MemberState is what a shard says of a member that it was offered.
+type MemberState string
+
+// States of offered members. None says that the member neither runs there nor
+// will start there.
+const (
+	MemberPending MemberState = "pending"
+	MemberDone    MemberState = "done"
+	MemberFailed  MemberState = "failed"
+	MemberUnknown MemberState = "unknown"
+	MemberNone    MemberState = "none"
+)
+
+// offerLife is how long an offered job may wait for its first start.
+const offerLife = 30 * time.Second
+
+// delegateLocked offers a job that does not fit here to another shard.
+func (c *Cell) delegateLocked(ctx context.Context, h *held) {
+	now := c.d.Clock.Now()
+	if h.asking || h.home != "" || h.rec.State.Final() {
+		c.pl.Declined(h.rec.ID, now)
+		return
+	}
+	members := h.waiting(c.runs)
+	gang := h.rec.Class == policy.ClassGang
+	shard, ok := c.d.Remote.Pick(h.rec.Spec.Size, len(members), gang, c.cfg.Shard)
+	if !ok || len(members) != h.rec.Remaining() {
+		// A job that runs here in part stays here: one shard has all of it.
+		c.pl.Declined(h.rec.ID, now)
+		return
+	}
+	c.pl.Cancel(h.rec.ID)
+	h.added, h.asking = false, true
+	h.rec.Delegated = shard
+	h.rec.Attempted = h.rec.Attempted || !h.rec.Spec.Repeatable
+	for _, m := range members {
+		h.remote[m] = true
+	}
+	rec := h.rec.Clone()
+	c.spawn(func() { c.offer(ctx, h, rec, shard, members) })
+}
+
+// waiting lists the members that neither ended well nor run here.
+func (h *held) waiting(runs map[string]*run) []int {
+	var out []int
+	for m := range h.rec.Spec.Members {
+		if !h.rec.IsFinished(m) && runs[place.TaskID(h.rec.ID, m)] == nil {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// offer keeps where the job may run before it asks, so that a successor of this
+// shard's owner asks there too.
+func (c *Cell) offer(ctx context.Context, h *held, rec *jobs.Record, shard string, members []int) {
+	octx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	err := c.jour.Keep(octx, rec)
+	if err == nil {
+		err = c.d.Remote.Offer(octx, shard, c.cfg.Shard, rec, members, c.d.Clock.Wall().Add(offerLife))
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.asking = false
+	if rcode.Of(err).NotRun() {
+		clear(h.remote)
+		h.rec.Delegated = ""
+		if !h.rec.Spec.Repeatable && h.rec.State == jobs.StateWaiting {
+			h.rec.Attempted = false
+		}
+		c.jour.Update(h.rec)
+		c.queueLocked(h)
+		return
+	}
+	// A lost reply leaves the members remote: polling tells what became of them.
+	c.d.Log.Info("job offered", append(logs.Err(err), zap.String("id", rec.ID), zap.String("to", shard))...)
+}
+
+// resumeRemoteLocked goes on asking after a takeover of the home shard.
+func (c *Cell) resumeRemoteLocked(h *held) {
+	h.asking = false
+	for _, m := range h.waiting(c.runs) {
+		h.remote[m] = true
+	}
+}
+
+// pollRemote asks other shards about delegated jobs.
+func (c *Cell) pollRemote(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, h := range c.jobs {
+		if len(h.remote) == 0 || h.asking || h.home != "" {
+			continue
+		}
+		h.asking = true
+		members := make([]int, 0, len(h.remote))
+		for m := range h.remote {
+			members = append(members, m)
+		}
+		id, shard, stop := h.rec.ID, h.rec.Delegated, h.rec.State.Final()
+		c.spawn(func() { c.poll(ctx, h, id, shard, members, stop) })
+	}
+}
+
+func (c *Cell) poll(ctx context.Context, h *held, id, shard string, members []int, stop bool) {
+	pctx, cancel := context.WithTimeout(ctx, 2*time.Second)
+	defer cancel()
+	states, err := c.d.Remote.Poll(pctx, shard, c.cfg.Shard, id, members, stop, false)
+	if err == nil {
+		c.settleRemote(h, states)
+		if c.jour.Keep(pctx, c.snapshot(h)) == nil {
+			// Only kept results may be forgotten there; a lost call is repeated by
+			// the other shard's own expiry.
+			_, _ = c.d.Remote.Poll(pctx, shard, c.cfg.Shard, id, members, stop, true)
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h.asking = false
+	if len(h.remote) == 0 && !h.rec.State.Final() {
+		h.rec.Delegated = ""
+		c.queueLocked(h)
+	}
+}
+
+func (c *Cell) snapshot(h *held) *jobs.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return h.rec.Clone()
+}
+
+func (c *Cell) settleRemote(h *held, states map[int]MemberState) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for m, s := range states {
+		if !h.remote[m] {
+			continue
+		}
+		switch s {
+		case MemberDone:
+			delete(h.remote, m)
+			c.finishedLocked(h, m)
+		case MemberFailed:
+			delete(h.remote, m)
+			c.finalLocked(h, jobs.StateFailed, rcode.JobFailed, "failed on shard "+h.rec.Delegated)
+		case MemberUnknown:
+			delete(h.remote, m)
+			c.finalLocked(h, jobs.StateUnknown, rcode.OutcomeUnknown, "may have run on shard "+h.rec.Delegated)
+		case MemberNone:
+			delete(h.remote, m)
+		case MemberPending:
+			if h.rec.State == jobs.StateWaiting {
+				h.rec.State = jobs.StateRunning
+			}
+		}
+	}
+}
+
+// Take accepts members of a job that another shard keeps. All members are taken
+// or none.
+func (c *Cell) Take(rec *jobs.Record, home string, members []int, startBy time.Time) error {
+	if !c.recovered.Load() || c.frozen.Load() {
+		return rcode.New(rcode.NoOwner, "shard %s takes no offers now", c.cfg.Shard)
+	}
+	if err := c.mayStart(rec); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.jobs[rec.ID]; h != nil {
+		if h.home == home {
+			return nil // The offer arrived twice.
+		}
+		return rcode.New(rcode.IDReused, "job %s is known here", rec.ID)
+	}
+	if c.pl.Room(rec.Team, rec.Spec.Size, 1) == 0 {
+		return rcode.New(rcode.NoRoom, "shard %s has no room", c.cfg.Shard)
+	}
+	h := newHeld(rec.Clone())
+	h.home, h.startBy = home, startBy
+	h.rec.State, h.rec.Delegated = jobs.StateWaiting, ""
+	wanted := map[int]bool{}
+	for _, m := range members {
+		wanted[m] = true
+	}
+	for m := range rec.Spec.Members {
+		if !wanted[m] {
+			h.rec.Finish(m)
+		}
+	}
+	c.jobs[rec.ID] = h
+	c.queueLocked(h)
+	if !h.added {
+		delete(c.jobs, rec.ID)
+		return rcode.New(rcode.NoRoom, "shard %s cannot hold the job", c.cfg.Shard)
+	}
+	c.wake()
+	return nil
+}
+
+// Members tells a home shard what became of members that it offered. stop ends
+// them; ack lets this shard forget a job that has ended here.
+func (c *Cell) Members(home, job string, members []int, stop, ack bool) (map[int]MemberState, error) {
+	if !c.recovered.Load() {
+		return nil, rcode.New(rcode.NoOwner, "shard %s is still finding out what it runs", c.cfg.Shard)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.jobs[job]
+	if h != nil && h.home != home {
+		return nil, rcode.New(rcode.IDReused, "job %s is not of shard %s", job, home)
+	}
+	if h != nil && stop {
+		c.stopLocked(h, jobs.StateCancelled, rcode.JobCancelled, "by its home shard")
+	}
+	out := make(map[int]MemberState, len(members))
+	for _, m := range members {
+		out[m] = c.memberLocked(h, job, m)
+	}
+	if ack && (h == nil || h.rec.State.Final()) {
+		delete(c.jobs, job)
+		delete(c.orphans, job)
+	}
+	return out, nil
+}
+
+func (c *Cell) memberLocked(h *held, job string, m int) MemberState {
+	switch {
+	case c.runs[place.TaskID(job, m)] != nil:
+		return MemberPending
+	case h == nil && c.orphans[job] != nil && c.orphans[job][m] == MemberDone:
+		return MemberDone
+	case h == nil:
+		return MemberNone
+	case h.rec.IsFinished(m):
+		return MemberDone
+	}
+	switch h.rec.State {
+	case jobs.StateFailed:
+		return MemberFailed
+	case jobs.StateUnknown:
+		return MemberUnknown
+	case jobs.StateCancelled, jobs.StateDone:
+		return MemberNone
+	case jobs.StateWaiting, jobs.StateRunning:
+	}
+	return MemberPending
+}
+
+// expireOffersLocked gives back offered jobs of which nothing started in time.
+func (c *Cell) expireOffersLocked(wall time.Time) {
+	for _, h := range c.jobs {
+		if h.home == "" || h.rec.State != jobs.StateWaiting || !wall.After(h.startBy) {
+			continue
+		}
+		if c.pl.Cancel(h.rec.ID) {
+			c.finalLocked(h, jobs.StateCancelled, rcode.NoRoom, "not started in time")
+		}
+	}
+}
--- a/entry/jobs/journal.go
+++ b/entry/jobs/journal.go
@@ -78,7 +78,9 @@
 	st    store.Store
 	clk   clock.Clock
 	log   *zap.Logger
-	fence Fence
+	fence func() Fence
+	// tied is the fence under which the records were read.
+	tied Fence
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -89,8 +91,9 @@
 	wake    chan struct{}
 }
 
-// New returns a journal for the ownership that fence stands for.
-func New(cfg Config, st store.Store, clk clock.Clock, log *zap.Logger, fence Fence) *Journal {
+// New returns a journal; fence returns the epoch key and its revision under the
+// present ownership.
+func New(cfg Config, st store.Store, clk clock.Clock, log *zap.Logger, fence func() Fence) *Journal {
 	cfg.Defaults()
 	return &Journal{
 		cfg: cfg, st: st, clk: clk, log: log, fence: fence, buckets: map[string]*bucket{},
@@ -107,6 +110,7 @@
 
 // Load reads all records of the shard. It is called once, before Serve.
 func (j *Journal) Load(ctx context.Context) ([]*Record, error) {
+	tied := j.fence()
 	kvs, _, err := j.st.List(ctx, j.prefix())
 	if err != nil {
 		return nil, err
@@ -114,6 +118,7 @@
 	var out []*Record
 	j.mu.Lock()
 	defer j.mu.Unlock()
+	j.tied = tied
 	for _, kv := range kvs {
 		var doc bucketDoc
 		if err := json.Unmarshal(kv.Value(), &doc); err != nil {
@@ -301,7 +306,7 @@
 	if j.lost != nil {
 		return g, nil, j.lost
 	}
-	txn := store.NewTxn().If(j.fence.key, j.fence.rev)
+	txn := store.NewTxn().If(j.tied.key, j.tied.rev)
 	total := 0
 	for _, b := range j.dirtyLocked() {
 		token := newToken()
@@ -406,11 +411,11 @@
 // conflict reads back why a group's conditions did not hold: an earlier write of
 // this journal whose reply was lost, or another owner.
 func (j *Journal) conflict(ctx context.Context, g *group) error {
-	kv, err := j.st.Get(ctx, j.fence.key)
+	kv, err := j.st.Get(ctx, j.tied.key)
 	if err != nil {
 		return j.end(g, store.Result{}, rcode.Wrap(err, rcode.OutcomeUnknown, "jobs.conflict"))
 	}
-	if kv.ModRevision() != j.fence.rev {
+	if kv.ModRevision() != j.tied.rev {
 		return j.lose(rcode.New(rcode.NotOwner, "jobs.conflict: shard %s has another owner", j.cfg.Shard))
 	}
 	for _, b := range g.buckets {
@@ -467,3 +472,25 @@
 	_, _ = rand.Read(b)
 	return hex.EncodeToString(b)
 }
+
+// Keep writes the new state of a job and returns once it is kept. An error says
+// that it may or may not be.
+func (j *Journal) Keep(ctx context.Context, r *Record) error {
+	j.Update(r)
+	for {
+		j.mu.Lock()
+		lost := j.lost
+		j.mu.Unlock()
+		switch {
+		case lost != nil:
+			return lost
+		case j.IsKept(r.ID):
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return rcode.Wrap(ctx.Err(), rcode.StoreUnavailable, "jobs.Keep %s", r.ID)
+		case <-j.clk.After(5 * time.Millisecond):
+		}
+	}
+}
--- a/entry/place/worker.go
+++ b/entry/place/worker.go
@@ -309,3 +309,14 @@
 	}
 	return free
 }
+
+// Free returns the free capacity of all workers together.
+func (s *State) Free() amount.Vec {
+	var free amount.Vec
+	for _, w := range s.order {
+		if w.ready && w.until == 0 {
+			free = free.Add(w.free().Positive())
+		}
+	}
+	return free
+}
--- a/entry/quota/ledger.go
+++ b/entry/quota/ledger.go
@@ -139,3 +139,14 @@
 		a.last, a.peak = a.peak, a.used()
 	}
 }
+
+// Allotments returns the allotment of every team.
+func (l *Ledger) Allotments() map[string]amount.Vec {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]amount.Vec, len(l.teams))
+	for name, a := range l.teams {
+		out[name] = a.allotment
+	}
+	return out
+}
--- a/entry/quota/mover.go
+++ b/entry/quota/mover.go
@@ -46,6 +46,10 @@
 	// may come at once; 0 means 500 ms and 8.
 	CallEvery time.Duration
 	Burst     int
+	// Shards is the number of shards of the cell. Half of an even part of each
+	// limit stays with a shard while it is idle, so that the first requests
+	// after a pause do not wait for a transfer; 0 keeps nothing.
+	Shards int
 }
 
 // Defaults sets what was left empty.
@@ -392,7 +396,7 @@
 	if short := m.short(team, l); !short.IsZero() {
 		next, _ = next.Take(m.cfg.Shard, short)
 	} else if giveBack {
-		idle := m.deps.Ledger.Idle(team).Min(next.Part(m.cfg.Shard))
+		idle := m.deps.Ledger.Idle(team).Min(next.Part(m.cfg.Shard).Sub(m.floor(l.limit))).Positive()
 		if given := m.deps.Ledger.Lower(team, idle); !given.IsZero() {
 			next, _ = next.Return(m.cfg.Shard, given)
 			l.lowered = true
@@ -406,6 +410,25 @@
 	return change{team: team, base: l.rev, next: next}, true
 }
 
+// floor is the part of a limit that stays with the shard while it is idle.
+func (m *Mover) floor(limit amount.Vec) amount.Vec {
+	if m.cfg.Shards == 0 {
+		return amount.Vec{}
+	}
+	n := int64(2 * m.cfg.Shards)
+	return amount.New(limit.CPUMilli()/n, limit.MemoryMiB()/n, limit.Accelerators()/n, limit.Requests()/n)
+}
+
+// WantFloor asks for the part that stays with the shard while it is idle.
+func (m *Mover) WantFloor(team string) {
+	m.mu.Lock()
+	limit := m.line(team).limit
+	m.mu.Unlock()
+	if v := m.floor(limit); !v.IsZero() {
+		m.Want(team, v)
+	}
+}
+
 // short returns what a demand still lacks.
 func (m *Mover) short(team string, l *line) amount.Vec {
 	if m.deps.Clock.Now() >= l.wantUntil {
--- a/entry/roll/roll.go
+++ b/entry/roll/roll.go
@@ -71,6 +71,10 @@
 	VM, DataCentre string
 	// OnNew is called after a newer bundle took force here.
 	OnNew func(*policy.Bundle)
+	// Layout returns what a VM that starts while the store is down needs beside
+	// the bundle, and OnLayout takes it in.
+	Layout   func() []byte
+	OnLayout func([]byte)
 }
 
 // Holder keeps the newest bundle. It is safe for concurrent use.
@@ -296,6 +300,7 @@
 	defer cancel()
 	m, err := h.d.Clients.Bundle(ctx, addr, &peer.BundleMessage{Version: h.Version()})
 	if err == nil && m.GetVersion() > h.Version() {
+		h.d.OnLayout(m.GetLayout())
 		_, err = h.Adopt(m.GetSigned())
 	}
 	if err != nil {
@@ -309,5 +314,5 @@
 	if b == nil || b.Version() <= have {
 		return &peer.BundleMessage{Version: h.Version()}
 	}
-	return &peer.BundleMessage{Version: b.Version(), Signed: b.Raw()}
+	return &peer.BundleMessage{Version: b.Version(), Signed: b.Raw(), Layout: h.d.Layout()}
 }
--- a/entry/route/request.go
+++ b/entry/route/request.go
@@ -59,6 +59,13 @@
 	return r
 }
 
+// Anonymous returns the request without the claim that its id is the caller's,
+// for the one send that its home shard makes.
+func (r Request) Anonymous() Request {
+	r.callerID = false
+	return r
+}
+
 // ID returns the request's id.
 func (r Request) ID() string { return r.id }
 
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -438,3 +438,12 @@
 	}
 	return n
 }
+
+// Waiting returns the number of waiting requests.
+func (s Stats) Waiting() int {
+	n := 0
+	for _, q := range s.queued {
+		n += q
+	}
+	return n
+}
