Add the operators' command line and complete the bundle

Cause: operators change the system only by rolling out bundles, and had no means to write, compare, sign or publish one. Faults named no line, two names for one public key counted as two approvals, and a field that stood twice or in another case was accepted. Change: core/policy names line and field of each fault, refuses fields that stand twice, reports keys and queues that cannot work together, compares two bundles in words (Diff), refuses successors that go back or cut off work (CheckSuccessor), creates keys, and compresses large documents inside Signed with bounded decompression. limctl has keygen, key, check, diff, sign, roll, status, history, revoke, out, in, explain, doctor and completion, and settles a lost reply by reading back the published bytes. Size and check time are not measured yet.

--- /dev/null
+++ b/core/policy/check.go
@@ -0,0 +1,232 @@
+package policy
+
+import (
+	"encoding/hex"
+	"fmt"
+	"strings"
+
+	"limpethitch.example/core/rcode"
+)
+
+// Fault is one thing wrong with a document.
+type Fault struct {
+	field, text string
+	line        int
+}
+
+// Field returns the path of the field at fault, such as teams[2].limit.
+func (f Fault) Field() string { return f.field }
+
+// Text returns what is wrong with it.
+func (f Fault) Text() string { return f.text }
+
+// Line returns the line of the field in the document, 0 when it is not known.
+func (f Fault) Line() int { return f.line }
+
+// String returns line, field and text.
+func (f Fault) String() string {
+	if f.line == 0 {
+		return f.field + ": " + f.text
+	}
+	return fmt.Sprintf("line %d: %s: %s", f.line, f.field, f.text)
+}
+
+// maxFaultsInError bounds the length of an error; Inspect returns all faults.
+const maxFaultsInError = 20
+
+func faultsError(name string, faults []Fault) error {
+	lines := make([]string, 0, maxFaultsInError+1)
+	for i, f := range faults {
+		if i == maxFaultsInError {
+			lines = append(lines, fmt.Sprintf("and %d more", len(faults)-i))
+			break
+		}
+		lines = append(lines, f.String())
+	}
+	return rcode.New(rcode.BundleInvalid, "policy.%s: %s", name, strings.Join(lines, "; "))
+}
+
+type checker struct{ faults []Fault }
+
+func (c *checker) require(ok bool, field, format string, args ...any) {
+	if !ok {
+		c.faults = append(c.faults, Fault{field: field, text: fmt.Sprintf(format, args...)})
+	}
+}
+
+func (c *checker) name(seen map[string]bool, field, name string) {
+	c.require(validName(name), field, "name %q must be 1 to 63 of a-z, 0-9 and -", name)
+	c.require(!seen[name], field, "name %q stands twice", name)
+	seen[name] = true
+}
+
+func validName(s string) bool {
+	if s == "" || len(s) > 63 {
+		return false
+	}
+	for i := range len(s) {
+		c := s[i]
+		if (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' {
+			return false
+		}
+	}
+	return true
+}
+
+// Check returns all faults of the document, each with its field.
+func (d *Document) Check() []Fault {
+	c := &checker{}
+	c.require(d.Version > 0, "version", "must be positive")
+	c.require(d.Author != "", "author", "must name who wrote the bundle")
+	c.require(d.BlindMS > 0 && d.BlindMS <= MaxBlindMS, "blind_ms", "%d is not within 1 to %d", d.BlindMS, MaxBlindMS)
+	c.require(d.BlindOpenMS > 0 && d.BlindOpenMS <= 24*MaxBlindMS, "blind_open_ms", "%d is out of range", d.BlindOpenMS)
+	d.checkDataCentres(c)
+	teams := d.checkTeams(c)
+	d.checkQueues(c, teams)
+	return c.faults
+}
+
+func (d *Document) checkDataCentres(c *checker) {
+	seen := map[string]bool{}
+	inService := 0
+	for i, dc := range d.DataCentres {
+		c.name(seen, fmt.Sprintf("data_centres[%d]", i), dc.Name)
+		if dc.InService {
+			inService++
+		}
+	}
+	c.require(inService > 0, "data_centres", "none is in service")
+}
+
+// keyChecker holds what is compared between the keys of all teams.
+type keyChecker struct {
+	ids     map[string]string
+	secrets map[string]string
+}
+
+func (d *Document) checkTeams(c *checker) map[string]TeamDoc {
+	seen := map[string]bool{}
+	byName := make(map[string]TeamDoc, len(d.Teams))
+	keys := keyChecker{ids: map[string]string{}, secrets: map[string]string{}}
+	c.require(len(d.Teams) > 0, "teams", "there is none")
+	for i, t := range d.Teams {
+		f := fmt.Sprintf("teams[%d]", i)
+		c.name(seen, f, t.Name)
+		c.require(t.Share > 0 && t.Share <= 1_000_000, f+".share", "%d is not within 1 to 1000000", t.Share)
+		t.Limit.check(c, f+".limit")
+		for j, k := range t.Keys {
+			keys.check(c, fmt.Sprintf("%s.keys[%d]", f, j), t.Name, k)
+		}
+		byName[t.Name] = t
+	}
+	return byName
+}
+
+func (l LimitDoc) check(c *checker, field string) {
+	amounts := []struct {
+		name string
+		n    int64
+	}{
+		{"cpu_milli", l.CPUMilli},
+		{"memory_mib", l.MemoryMiB},
+		{"accelerators", l.Accelerators},
+		{"requests", l.Requests},
+	}
+	for _, a := range amounts {
+		c.require(a.n >= 0 && a.n <= maxAmount, field+"."+a.name, "%d is not within 0 to %d", a.n, int64(maxAmount))
+	}
+	c.require(l.Accelerators <= 0 || l.runsJobs(), field+".accelerators",
+		"%d accelerators cannot be used without processors and memory", l.Accelerators)
+}
+
+// runsJobs reports whether any job fits: each needs a processor and memory.
+func (l LimitDoc) runsJobs() bool { return l.CPUMilli > 0 && l.MemoryMiB > 0 }
+
+// suspended reports whether operators stopped the team by setting all its
+// limits to 0, which is allowed on any queue.
+func (l LimitDoc) suspended() bool { return l == LimitDoc{} }
+
+func (kc keyChecker) check(c *checker, field, team string, k KeyDoc) {
+	c.require(validName(k.ID), field, "id %q must be 1 to 63 of a-z, 0-9 and -", k.ID)
+	other, taken := kc.ids[k.ID]
+	c.require(!taken, field, "id %q stands twice, first in team %q", k.ID, other)
+	kc.ids[k.ID] = team
+	c.require(len(k.Hash) == 64 && isHex(k.Hash), field+".hash", "must have 64 hexadecimal digits")
+	c.require(len(k.Salt) >= 16 && isHex(k.Salt), field+".salt", "must have at least 16 hexadecimal digits in pairs")
+	// Revoking one of two keys with one secret would leave the secret working.
+	secret := strings.ToLower(k.Salt + k.Hash)
+	twin, same := kc.secrets[secret]
+	c.require(!same || twin == k.ID, field, "keys %q and %q hold the same secret, so revoking one leaves it working", twin, k.ID)
+	kc.secrets[secret] = k.ID
+}
+
+func isHex(s string) bool {
+	_, err := hex.DecodeString(s)
+	return err == nil
+}
+
+func (d *Document) checkQueues(c *checker, teams map[string]TeamDoc) {
+	seen := map[string]bool{}
+	open := map[string]QueueDoc{}
+	for i, q := range d.Queues {
+		f := fmt.Sprintf("queues[%d]", i)
+		c.name(seen, f, q.Name)
+		q.checkClass(c, f)
+		q.checkTeams(c, f, teams)
+		c.require(q.MaxWaiting > 0 && q.MaxWaiting <= 1_000_000, f+".max_waiting", "%d is not within 1 to 1000000", q.MaxWaiting)
+		c.require(q.MaxBody > 0 && q.MaxBody <= MaxMaxBody, f+".max_body", "%d is not within 1 to %d", q.MaxBody, MaxMaxBody)
+		if !q.Open || q.Service == "" {
+			continue
+		}
+		first, taken := open[q.Service]
+		c.require(!taken || first.Team == q.Team, f+".team",
+			"queues %q and %q are both open for service %q but count for teams %q and %q, so callers choose who pays",
+			first.Name, q.Name, q.Service, first.Team, q.Team)
+		open[q.Service] = q
+	}
+}
+
+func (q QueueDoc) checkClass(c *checker, f string) {
+	switch q.Class {
+	case ClassInteractive:
+		c.require(q.Service != "", f+".service", "an interactive queue names the service that answers")
+	case ClassUrgent, ClassService, ClassBatch, ClassGang:
+		c.require(q.Service == "", f+".service", "only an interactive queue has a service")
+	default:
+		c.require(false, f+".class", "%q is not one of %v", q.Class, Classes())
+	}
+}
+
+func (q QueueDoc) checkTeams(c *checker, f string, teams map[string]TeamDoc) {
+	_, known := teams[q.Team]
+	c.require(!q.Open || known, f+".team", "an open queue names the team %q that its work counts for", q.Team)
+	c.require(q.Open || q.Team == "", f+".team", "only an open queue has a team")
+	c.require(!q.Open || len(q.Teams) == 0, f+".teams", "an open queue takes work from anyone and cannot list teams")
+	if q.Open && known {
+		q.checkLimit(c, f+".team", teams[q.Team])
+	}
+	listed := map[string]bool{}
+	for i, name := range q.Teams {
+		tf := fmt.Sprintf("%s.teams[%d]", f, i)
+		t, ok := teams[name]
+		c.require(ok, tf, "team %q does not exist", name)
+		c.require(!listed[name], tf, "team %q stands twice", name)
+		listed[name] = true
+		if ok {
+			q.checkLimit(c, tf, t)
+		}
+	}
+}
+
+// checkLimit reports a team that a queue names although nothing of the queue's
+// class can ever run within the team's limit.
+func (q QueueDoc) checkLimit(c *checker, field string, t TeamDoc) {
+	if t.Limit.suspended() {
+		return
+	}
+	if q.Class == ClassInteractive {
+		c.require(t.Limit.Requests > 0, field, "team %q has a limit of 0 requests, so the queue can never serve it", t.Name)
+		return
+	}
+	c.require(t.Limit.runsJobs(), field, "team %q has a limit of 0 processors or memory, so the queue can never serve it", t.Name)
+}
--- /dev/null
+++ b/core/policy/decode.go
@@ -0,0 +1,71 @@
+package policy
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+)
+
+// Decode reads a document, packed or plain, and refuses unknown fields, since a
+// misspelt limit would otherwise silently not apply, and fields that stand
+// twice, since a reviewer may read one and the VMs the other.
+func Decode(raw []byte) (*Document, error) {
+	plain, err := Unpack(raw)
+	if err != nil {
+		return nil, err
+	}
+	d, faults := parse(plain)
+	if len(faults) > 0 {
+		return nil, faultsError("Decode", faults)
+	}
+	return d, nil
+}
+
+// Inspect reads a document, packed or plain, sets its defaults and returns all
+// its faults with field and line. The document is nil when it cannot be read.
+func Inspect(raw []byte) (*Document, []Fault) {
+	plain, err := Unpack(raw)
+	if err != nil {
+		return nil, []Fault{{field: "document", text: err.Error()}}
+	}
+	d, faults := parse(plain)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	d.Defaults()
+	faults = d.Check()
+	if len(faults) > 0 {
+		locate(plain, faults)
+	}
+	return d, faults
+}
+
+// parse reads a plain document and returns all faults of its form.
+func parse(plain []byte) (*Document, []Fault) {
+	var d Document
+	err := json.Unmarshal(plain, &d)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		return nil, []Fault{{field: "document", text: syntax.Error(), line: lineAt(plain, int(syntax.Offset))}}
+	}
+	faults := scanFaults(plain)
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &wrong):
+		text := fmt.Sprintf("is a %s and must be a %s", wrong.Value, wrong.Type.Kind())
+		faults = append(faults, Fault{field: fieldOr(wrong.Field), text: text, line: lineAt(plain, int(wrong.Offset))})
+	case err != nil:
+		faults = append(faults, Fault{field: "document", text: err.Error()})
+	}
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	return &d, nil
+}
+
+func fieldOr(field string) string {
+	if field == "" {
+		return "document"
+	}
+	return field
+}
--- /dev/null
+++ b/core/policy/pack.go
@@ -0,0 +1,126 @@
+package policy
+
+import (
+	"bytes"
+	"compress/gzip"
+	"crypto/ed25519"
+	"encoding/json"
+	"io"
+
+	"limpethitch.example/core/rcode"
+)
+
+// Bounds on the sizes of a bundle, in bytes.
+const (
+	// MaxSigned is the largest signed form: the store holds values up to 1 MB.
+	MaxSigned = 1_000_000
+	// MaxDocument bounds a document after decompression. The planned 360 teams
+	// with 10,000 keys take less than a quarter of it.
+	MaxDocument = 8 << 20
+	// packAbove is the size above which a document is compressed. Smaller ones
+	// stay readable in the store.
+	packAbove = 64 << 10
+)
+
+var gzipMagic = []byte{0x1f, 0x8b}
+
+// Pack returns the form of a document that is signed: the document itself, or
+// its gzip form when it is large. Hexadecimal hashes halve in size that way.
+func Pack(doc []byte) ([]byte, error) {
+	if len(doc) > MaxDocument {
+		return nil, rcode.New(rcode.BundleInvalid, "policy.Pack: %d bytes are more than %d", len(doc), MaxDocument)
+	}
+	if len(doc) <= packAbove || bytes.HasPrefix(doc, gzipMagic) {
+		return doc, nil
+	}
+	var buf bytes.Buffer
+	zw, err := gzip.NewWriterLevel(&buf, gzip.BestCompression)
+	if err != nil {
+		return nil, rcode.Wrap(err, rcode.Internal, "policy.Pack")
+	}
+	if _, err := zw.Write(doc); err != nil {
+		return nil, rcode.Wrap(err, rcode.Internal, "policy.Pack")
+	}
+	if err := zw.Close(); err != nil {
+		return nil, rcode.Wrap(err, rcode.Internal, "policy.Pack")
+	}
+	return buf.Bytes(), nil
+}
+
+// Unpack returns the plain document of its signed form. Decompression stops
+// above MaxDocument, and bytes after the compressed document are refused.
+func Unpack(packed []byte) ([]byte, error) {
+	if !bytes.HasPrefix(packed, gzipMagic) {
+		if len(packed) > MaxDocument {
+			return nil, rcode.New(rcode.BundleInvalid, "policy.Unpack: the document is larger than %d bytes", MaxDocument)
+		}
+		return packed, nil
+	}
+	src := bytes.NewReader(packed)
+	zr, err := gzip.NewReader(src)
+	if err != nil {
+		return nil, rcode.Wrap(err, rcode.BundleInvalid, "policy.Unpack")
+	}
+	zr.Multistream(false)
+	doc, err := io.ReadAll(io.LimitReader(zr, MaxDocument+1))
+	if err != nil {
+		return nil, rcode.Wrap(err, rcode.BundleInvalid, "policy.Unpack")
+	}
+	if len(doc) > MaxDocument {
+		return nil, rcode.New(rcode.BundleInvalid, "policy.Unpack: the document is larger than %d bytes", MaxDocument)
+	}
+	if src.Len() > 0 {
+		return nil, rcode.New(rcode.BundleInvalid, "policy.Unpack: %d bytes follow the document", src.Len())
+	}
+	return doc, nil
+}
+
+// NewSigned packs a document; it has no signature yet.
+func NewSigned(doc []byte) (*Signed, error) {
+	packed, err := Pack(doc)
+	if err != nil {
+		return nil, err
+	}
+	return &Signed{Bundle: packed}, nil
+}
+
+// ParseSigned reads the signed form without verifying it.
+func ParseSigned(raw []byte) (*Signed, error) {
+	if len(raw) > MaxSigned {
+		return nil, rcode.New(rcode.BundleInvalid, "policy.ParseSigned: %d bytes are more than %d", len(raw), MaxSigned)
+	}
+	dec := json.NewDecoder(bytes.NewReader(raw))
+	dec.DisallowUnknownFields()
+	var s Signed
+	if err := dec.Decode(&s); err != nil {
+		return nil, rcode.Wrap(err, rcode.BundleInvalid, "policy.ParseSigned: line %d", lineAt(raw, int(dec.InputOffset())))
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return nil, rcode.New(rcode.BundleInvalid, "policy.ParseSigned: bytes follow the signed form")
+	}
+	return &s, nil
+}
+
+// Marshal returns the signed form as it is published.
+func (s *Signed) Marshal() ([]byte, error) {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return nil, rcode.Wrap(err, rcode.Internal, "policy.Marshal")
+	}
+	if len(raw) > MaxSigned {
+		return nil, rcode.New(rcode.BundleInvalid, "policy.Marshal: the signed form has %d bytes, the store holds %d", len(raw), MaxSigned)
+	}
+	return raw, nil
+}
+
+// SignedBy reports whether s has a signature under the approver's name that
+// matches the key.
+func (s *Signed) SignedBy(approver string, key ed25519.PublicKey) bool {
+	msg := append([]byte(signContext), s.Bundle...)
+	for _, sig := range s.Signatures {
+		if sig.Approver == approver && ed25519.Verify(key, msg, sig.Value) {
+			return true
+		}
+	}
+	return false
+}
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -14,12 +14,12 @@
 package policy
 
 import (
+	"bytes"
 	"crypto/ed25519"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
-	"encoding/json"
 	"strings"
 	"time"
 
@@ -54,9 +54,14 @@
 	for _, part := range strings.Split(list, ",") {
 		name, enc, ok := strings.Cut(strings.TrimSpace(part), "=")
 		key, err := base64.StdEncoding.DecodeString(enc)
-		if !ok || err != nil || len(key) != ed25519.PublicKeySize {
+		if !ok || name == "" || err != nil || len(key) != ed25519.PublicKeySize {
 			return a, rcode.New(rcode.SettingInvalid, "policy.NewApprovers: %q is not name=base64 of a public key", part)
 		}
+		for other, k := range a.keys {
+			if other == name || bytes.Equal(k, key) {
+				return a, rcode.New(rcode.SettingInvalid, "policy.NewApprovers: %q and %q share a name or a key and would count as two approvals", other, name)
+			}
+		}
 		a.keys[name] = key
 	}
 	if need < 1 || need > len(a.keys) {
@@ -65,6 +70,15 @@
 	return a, nil
 }
 
+// Key returns the public key of an approver.
+func (a Approvers) Key(name string) (ed25519.PublicKey, bool) {
+	key, ok := a.keys[name]
+	return key, ok
+}
+
+// Need returns how many different approvers must have signed.
+func (a Approvers) Need() int { return a.need }
+
 // signContext separates these signatures from any other use of the same key.
 const signContext = "limpethitch bundle v1\n"
 
@@ -150,9 +164,9 @@
 
 // Open decodes a Signed value, verifies and compiles it.
 func Open(raw []byte, a Approvers) (*Bundle, error) {
-	var s Signed
-	if err := json.Unmarshal(raw, &s); err != nil {
-		return nil, rcode.Wrap(err, rcode.BundleInvalid, "policy.Open")
+	s, err := ParseSigned(raw)
+	if err != nil {
+		return nil, err
 	}
 	if err := s.Verify(a); err != nil {
 		return nil, err
@@ -165,19 +179,11 @@
 	return b, nil
 }
 
-// Compile checks a document and builds its indexes.
+// Compile checks a document, packed or plain, and builds its indexes.
 func Compile(doc []byte) (*Bundle, error) {
-	d, err := Decode(doc)
-	if err != nil {
-		return nil, err
-	}
-	d.Defaults()
-	if faults := d.Check(); len(faults) > 0 {
-		lines := make([]string, 0, len(faults))
-		for _, f := range faults {
-			lines = append(lines, f.String())
-		}
-		return nil, rcode.New(rcode.BundleInvalid, "policy.Compile: %s", strings.Join(lines, "; "))
+	d, faults := Inspect(doc)
+	if len(faults) > 0 {
+		return nil, faultsError("Compile", faults)
 	}
 	b := &Bundle{
 		doc: d, teams: map[string]Team{}, queues: map[string]Queue{},
--- a/limctl/main.go
+++ b/limctl/main.go
@@ -1,3 +1,85 @@
+// Package main is limctl, the operators' command line: it creates keys, checks,
+// compares and signs bundles, rolls them out and shows the state of the cell.
+//
+// # Usage
+//
+//	limctl check bundle.json
+//	limctl sign bundle.json --key-file ana.key --out signed.json
+//	limctl roll signed.json
+//
+// Each subcommand is one file with its manual on top. Operators change the
+// system only by rolling out a new version of the bundle: revoke, out and in are
+// such versions with one small change.
 package main
 
-func main() {}
+import (
+	"crypto/rand"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/rcode"
+)
+
+const description = `limctl is the operators' command line of limpethitch.
+
+Every flag can be set by an environment variable. Secrets come only from files
+or the environment: LIMCTL_TOKEN holds the operator token, LIMCTL_APPROVER_KEY
+holds approvers' private keys in the form of key files, separated by commas.
+
+Exit codes: 0 done; 1 internal; 2 usage or settings; 3 the bundle has faults;
+4 signatures or private keys are missing or wrong; 5 another version was first;
+6 published, not yet in force; 7 the operator token was refused; 8 no entry VM
+did it, nothing changed; 9 outcome unknown; 10 doctor found a fault; 11 not
+found.`
+
+func main() {
+	a := &app{stdout: os.Stdout, stderr: os.Stderr, clock: clock.New(), random: rand.Reader}
+	os.Exit(run(a, os.Args[1:]))
+}
+
+// run parses the arguments, runs the subcommand and returns the exit code.
+func run(a *app, args []string) int {
+	exited := false
+	parser, err := kong.New(
+		&a.cli,
+		kong.Name("limctl"),
+		kong.Description(description),
+		kong.DefaultEnvars("LIMCTL"),
+		kong.Writers(a.stdout, a.stderr),
+		kong.Exit(func(int) { exited = true }),
+		kong.ConfigureHelp(kong.HelpOptions{Compact: true, WrapUpperBound: 80}),
+	)
+	if err != nil {
+		return a.fail(rcode.Wrap(err, rcode.Internal, "main.run"))
+	}
+	a.parser = parser
+	ctx, err := parser.Parse(args)
+	if exited { // The help was asked for and printed.
+		return exitOK
+	}
+	if err != nil {
+		return a.fail(rcode.Wrap(err, rcode.SettingInvalid, "limctl --help shows the usage"))
+	}
+	if err := a.connect(); err != nil {
+		return a.fail(err)
+	}
+	if err := ctx.Run(a); err != nil {
+		return a.fail(err)
+	}
+	return exitOK
+}
+
+// app is what every subcommand runs with. The clock and the source of random
+// bytes are replaced by tests.
+type app struct {
+	cli    cli
+	stdout io.Writer
+	stderr io.Writer
+	clock  clock.Clock
+	random io.Reader
+	parser *kong.Kong
+	client *client
+}
--- /dev/null
+++ b/limctl/rollout.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
+)
+
+type dataCentreState struct {
+	Name             string `json:"name"`
+	InService        bool   `json:"in_service"`
+	Confirmed        bool   `json:"confirmed"`
+	ConfirmedUnixMS  int64  `json:"confirmed_unix_ms,omitempty"`
+	BlindUntilUnixMS int64  `json:"blind_until_unix_ms,omitempty"`
+}
+
+type rolloutState struct {
+	Version     int64             `json:"version"`
+	InForce     bool              `json:"in_force"`
+	DataCentres []dataCentreState `json:"data_centres"`
+}
+
+// rollResult is the result of roll, revoke, out and in for programs.
+type rollResult struct {
+	Version     int64             `json:"version"`
+	Published   bool              `json:"published"`
+	InForce     bool              `json:"in_force"`
+	DataCentres []dataCentreState `json:"data_centres"`
+	Changes     []changeDoc       `json:"changes"`
+}
+
+// rollout publishes a bundle and waits until it is in force.
+type rollout struct {
+	app    *app
+	bundle *policy.Bundle
+	old    *policy.Bundle
+	signed *policy.Signed
+	raw    []byte
+	wait   time.Duration
+	// published is set when the version is known to be published already.
+	published bool
+}
+
+func (r *rollout) run() error {
+	changes := policy.Diff(r.old, r.bundle)
+	stop := r.app.clock.Now().Add(r.wait)
+	if !r.published {
+		r.app.progress("version %d by %s changes:\n%s", r.bundle.Version(), r.bundle.Author(), strings.TrimSuffix(changeLines(changes), "\n"))
+		p := &publication{app: r.app, raw: r.raw, signed: r.signed, version: r.bundle.Version(), stop: stop}
+		if err := p.publish(); err != nil {
+			return err
+		}
+	}
+	r.app.progress("version %d is published", r.bundle.Version())
+	state, err := r.await(stop)
+	if r.app.cli.Output == FormatJSON {
+		result := rollResult{
+			Version: r.bundle.Version(), Published: true, InForce: state.InForce,
+			DataCentres: state.DataCentres, Changes: changeDocs(changes),
+		}
+		if eerr := r.app.emit(result, nil); eerr != nil {
+			return eerr
+		}
+	}
+	return err
+}
+
+// await polls until the version is in force and prints each data centre once,
+// when it has confirmed. The stop is set before publication.
+func (r *rollout) await(stop clock.Mono) (rolloutState, error) {
+	version := r.bundle.Version()
+	shown := map[string]bool{}
+	var state rolloutState
+	for {
+		var next rolloutState
+		err := r.app.client.get(fmt.Sprintf("/v1/rollouts/%d", version), &next)
+		if err == nil {
+			state = next
+		}
+		r.show(state, shown)
+		if state.InForce {
+			r.app.progress("version %d is in force", version)
+			return state, nil
+		}
+		if r.app.clock.Now() >= stop {
+			waiting := rcode.New(rcode.RolloutWaiting, "version %d is published and not yet in force, %s", version, state.missing())
+			if err != nil {
+				waiting = rcode.Wrap(err, rcode.RolloutWaiting, "version %d is published, whether it is in force cannot be read", version)
+			}
+			return state, waiting
+		}
+		<-r.app.clock.After(pollInterval)
+	}
+}
+
+func (r *rollout) show(state rolloutState, shown map[string]bool) {
+	for _, dc := range state.DataCentres {
+		if !dc.Confirmed || shown[dc.Name] {
+			continue
+		}
+		shown[dc.Name] = true
+		r.app.progress("  %s confirmed at %s", dc.Name, wall(dc.ConfirmedUnixMS))
+	}
+}
+
+func (s rolloutState) missing() string {
+	var out []string
+	for _, dc := range s.DataCentres {
+		if !dc.InService || dc.Confirmed {
+			continue
+		}
+		text := dc.Name
+		if dc.BlindUntilUnixMS > 0 {
+			text += " (may run without confirmation until " + wall(dc.BlindUntilUnixMS) + ")"
+		}
+		out = append(out, text)
+	}
+	if len(out) == 0 {
+		return "no data centre is named as missing"
+	}
+	return "missing: " + strings.Join(out, ", ")
+}
+
+// wall prints a time of the entry VMs in UTC.
+func wall(unixMS int64) string {
+	if unixMS <= 0 {
+		return "-"
+	}
+	return time.UnixMilli(unixMS).UTC().Format("2006-01-02T15:04:05.000Z")
+}
