--- a/entry/agent/client.go
+++ b/entry/agent/client.go
@@ -49,12 +49,11 @@
 func New(cfg Config) *Client {
 	cfg.Defaults()
 	return &Client{cfg: cfg, cli: &fasthttp.Client{
-		MaxConnsPerHost:               cfg.MaxConns,
-		MaxConnWaitTimeout:            cfg.CallTimeout,
-		MaxResponseBodySize:           maxReply,
-		NoDefaultUserAgentHeader:      true,
-		DisablePathNormalizing:        true,
-		DisableHeaderNamesNormalizing: false,
+		MaxConnsPerHost:          cfg.MaxConns,
+		MaxConnWaitTimeout:       cfg.CallTimeout,
+		MaxResponseBodySize:      maxReply,
+		NoDefaultUserAgentHeader: true,
+		DisablePathNormalizing:   true,
 		// A start that is sent again could run after it was stopped.
 		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		Dial: func(addr string) (net.Conn, error) {
@@ -90,7 +89,7 @@
 	if err != nil {
 		return err
 	}
-	return statusError(status, fasthttp.StatusCreated, "agent.Start "+t.id)
+	return startError(status, t.id)
 }
 
 type renewRequest struct {
@@ -130,25 +129,28 @@
 	return s
 }
 
-// Renew implements Worker. A list with a task in an unknown state is an error
-// as a whole: a takeover must not place beside tasks that it cannot read.
+// Renew implements Worker. A list that cannot be read as a whole is an error:
+// a takeover would start the tasks that it misses a second time.
 func (c *Client) Renew(ctx context.Context, addr string, lease time.Time, ids, ack []string) ([]TaskStatus, error) {
 	req := renewRequest{LeaseUnixMS: lease.UnixMilli(), Tasks: ids, Ack: ack}
 	status, body, err := c.call(ctx, addr, "/v1/leases", req)
 	if err != nil {
 		return nil, err
 	}
-	if err := statusError(status, fasthttp.StatusOK, "agent.Renew"); err != nil {
-		return nil, err
+	if status != fasthttp.StatusOK {
+		return nil, rcode.New(rcode.OutcomeUnknown, "agent.Renew %s: status %d", addr, status)
 	}
 	var list listReply
 	if err := json.Unmarshal(body, &list); err != nil {
-		return nil, rcode.Wrap(err, rcode.OutcomeUnknown, "agent.Renew")
+		return nil, rcode.Wrap(err, rcode.OutcomeUnknown, "agent.Renew %s", addr)
+	}
+	if list.Tasks == nil {
+		return nil, rcode.New(rcode.OutcomeUnknown, "agent.Renew %s: no list of tasks", addr)
 	}
 	out := make([]TaskStatus, 0, len(list.Tasks))
 	for _, t := range list.Tasks {
 		if t.ID == "" || !t.State.known() {
-			return nil, rcode.New(rcode.OutcomeUnknown, "agent.Renew: task %q has state %q", t.ID, t.State)
+			return nil, rcode.New(rcode.OutcomeUnknown, "agent.Renew %s: task %q has state %q", addr, t.ID, t.State)
 		}
 		out = append(out, t.status())
 	}
@@ -180,7 +182,13 @@
 	if err != nil {
 		return err
 	}
-	return statusError(status, fasthttp.StatusAccepted, "agent."+action+" "+id)
+	switch status {
+	case fasthttp.StatusAccepted:
+		return nil
+	case fasthttp.StatusNotFound:
+		return rcode.New(rcode.JobUnknown, "agent.%s %s: the worker holds no such task", action, id)
+	}
+	return rcode.New(rcode.OutcomeUnknown, "agent.%s %s: status %d", action, id, status)
 }
 
 func (c *Client) call(ctx context.Context, addr, path string, in any) (int, []byte, error) {
@@ -218,18 +226,18 @@
 	return rcode.OutcomeUnknown
 }
 
-func statusError(status, want int, call string) error {
+// startError: a status that the protocol does not name may come from a worker
+// that began the task.
+func startError(status int, id string) error {
 	switch status {
-	case want:
+	case fasthttp.StatusCreated:
 		return nil
 	case fasthttp.StatusBadRequest:
-		return rcode.New(rcode.BadRequest, "%s: refused as malformed", call)
-	case fasthttp.StatusNotFound:
-		return rcode.New(rcode.JobUnknown, "%s: the worker holds no such task", call)
+		return rcode.New(rcode.BadRequest, "agent.Start %s: refused as malformed", id)
 	case fasthttp.StatusConflict:
-		return rcode.New(rcode.IDReused, "%s: the id runs or ended there", call)
+		return rcode.New(rcode.IDReused, "agent.Start %s: the id runs or ended there", id)
 	case fasthttp.StatusGone:
-		return rcode.New(rcode.DeadlinePassed, "%s: the lease has passed", call)
+		return rcode.New(rcode.DeadlinePassed, "agent.Start %s: the lease has passed", id)
 	}
-	return rcode.New(rcode.OutcomeUnknown, "%s: status %d", call, status)
+	return rcode.New(rcode.OutcomeUnknown, "agent.Start %s: status %d", id, status)
 }
--- a/stand/standkv/kv.go
+++ b/stand/standkv/kv.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http/httputil"
+	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
@@ -245,34 +247,33 @@
 	ctx.Hijack(func(c net.Conn) { s.stream(c, key, exact, from) })
 }
 
+// stream serves a watch until its client goes, the service goes down or the
+// changes are no longer held. All goroutines that use c end before it returns,
+// since the server then reuses the buffer of c.
 func (s *Server) stream(c net.Conn, key string, exact bool, from int64) {
 	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	defer wg.Wait()
 	defer cancel()
-	go func() {
-		_, _ = io.Copy(io.Discard, c)
-		cancel()
-	}()
-	s.mu.Lock()
-	s.counts.watches++
-	upset := s.upset
-	down := s.control.Down
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		s.counts.watches--
-		s.mu.Unlock()
-	}()
+	upset, down := s.watchOpened()
+	defer s.watchClosed()
 	if down {
 		return
 	}
-	go func() {
+	wg.Go(func() {
+		_, _ = io.Copy(io.Discard, c)
+		cancel()
+	})
+	wg.Go(func() {
 		select {
 		case <-upset:
-			_ = c.Close()
 			cancel()
 		case <-ctx.Done():
 		}
-	}()
+		// Close of a connection that was taken over has no effect before the
+		// handler returns; a deadline ends its reads and writes.
+		_ = c.SetDeadline(time.Unix(1, 0))
+	})
 	buf := bufio.NewWriter(c)
 	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
 	out := httputil.NewChunkedWriter(buf)
@@ -300,3 +301,16 @@
 	_, _ = buf.WriteString("\r\n")
 	_ = buf.Flush()
 }
+
+func (s *Server) watchOpened() (upset <-chan struct{}, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.watches++
+	return s.upset, s.control.Down
+}
+
+func (s *Server) watchClosed() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.watches--
+}
--- a/stand/standkv/standkv.go
+++ b/stand/standkv/standkv.go
@@ -14,6 +14,7 @@
 
 import (
 	"bytes"
+	"math"
 	"sync"
 	"time"
 
@@ -30,6 +31,9 @@
 	// answered with 429.
 	WritesPerSecond int
 	ReadsPerSecond  int
+	// LogEntries bounds the changes that a watch may start from; 0 means the
+	// bound of store.NewMemory.
+	LogEntries int
 }
 
 // Defaults sets what was left empty.
@@ -77,13 +81,20 @@
 func New(cfg Config, clk clock.Clock) *Server {
 	cfg.Defaults()
 	s := &Server{
-		clk: clk, mem: store.NewMemory(), leases: newLeases(), upset: make(chan struct{}),
+		clk: clk, mem: newMemory(cfg), leases: newLeases(), upset: make(chan struct{}),
 		counts: newCounts(cfg),
 	}
 	s.Server = httpd.New(s.handle)
 	return s
 }
 
+func newMemory(cfg Config) *store.Memory {
+	if cfg.LogEntries == 0 {
+		return store.NewMemory()
+	}
+	return store.NewMemoryBounded(cfg.LogEntries, math.MaxInt)
+}
+
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	switch {
--- a/stand/standkv/standkv_test.go
+++ b/stand/standkv/standkv_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -83,3 +84,200 @@
 		t.Errorf("a transaction on an old revision: done=%v err=%v", res.Done(), err)
 	}
 }
+
+// watch sends each key changed on the channel, which it closes with the watch.
+func watch(ctx context.Context, g *store.Gateway, from int64) (<-chan string, <-chan error) {
+	keys, ended := make(chan string, 100), make(chan error, 1)
+	go func() {
+		ended <- g.Watch(ctx, "w/", from, func(c store.Change) {
+			if c.Deleted() {
+				keys <- "-" + c.KV().Key()
+				return
+			}
+			keys <- c.KV().Key()
+		})
+		close(keys)
+	}()
+	return keys, ended
+}
+
+func take(keys <-chan string, n int) []string {
+	var out []string
+	for range n {
+		out = append(out, <-keys)
+	}
+	return out
+}
+
+// Guards against a watch that misses or repeats changes after it is resumed,
+// and against one that stays counted when its client has gone.
+func TestWatchResume(t *testing.T) {
+	srv, g := serve(t, standkv.Config{}, clock.New())
+	first := put(t, g, "w/1", "1")
+	put(t, g, "other", "x")
+	ctx, cancel := context.WithCancel(context.Background())
+	keys, ended := watch(ctx, g, first)
+	put(t, g, "w/2", "2")
+	if d := cmp.Diff([]string{"w/1", "w/2"}, take(keys, 2)); d != "" {
+		t.Error(d)
+	}
+	cancel()
+	<-ended
+	last := put(t, g, "w/3", "3")
+	if _, err := g.Commit(context.Background(), store.NewTxn().Delete("w/1")); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel = context.WithCancel(context.Background())
+	keys, ended = watch(ctx, g, last)
+	if d := cmp.Diff([]string{"w/3", "-w/1"}, take(keys, 2)); d != "" {
+		t.Error(d)
+	}
+	cancel()
+	<-ended
+	for srv.Stats().Watches != 0 {
+		runtime.Gosched()
+	}
+}
+
+// Guards against a watch that silently starts after changes which the service
+// no longer holds.
+func TestWatchCompacted(t *testing.T) {
+	_, g := serve(t, standkv.Config{LogEntries: 2}, clock.New())
+	first := put(t, g, "w/1", "1")
+	for range 3 {
+		put(t, g, "w/1", "2")
+	}
+	keys, ended := watch(context.Background(), g, first)
+	if d := cmp.Diff(rcode.StoreUnavailable, rcode.Of(<-ended)); d != "" {
+		t.Error(d)
+	}
+	if _, open := <-keys; open {
+		t.Error("changes after a gap were reported")
+	}
+}
+
+// Guards against a lost reply that the adapter reports as a write that did not
+// happen, or sends a second time.
+func TestLostReply(t *testing.T) {
+	srv, g := serve(t, standkv.Config{}, clock.New())
+	ctx := context.Background()
+	srv.Set(standkv.Control{LoseReplyEvery: 2, Seed: 1})
+	var got []rcode.Code
+	for range 4 {
+		_, err := g.Commit(ctx, store.NewTxn().Put("k", []byte("v")))
+		got = append(got, rcode.Of(err))
+	}
+	want := []rcode.Code{rcode.OutcomeUnknown, rcode.OK, rcode.OutcomeUnknown, rcode.OK}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	var revs []int64
+	for _, w := range srv.History("k", 0) {
+		revs = append(revs, w.Revision)
+	}
+	if d := cmp.Diff([]int64{2, 3, 4, 5}, revs); d != "" {
+		t.Errorf("writes applied:\n%s", d)
+	}
+	if d := cmp.Diff(int64(2), srv.Stats().LostReplies); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against an outage that leaves watches open, or writes in the store.
+func TestDown(t *testing.T) {
+	srv, g := serve(t, standkv.Config{}, clock.New())
+	ctx := context.Background()
+	rev := put(t, g, "w/1", "1")
+	keys, ended := watch(ctx, g, rev)
+	take(keys, 1)
+	srv.Set(standkv.Control{Down: true})
+	if d := cmp.Diff(rcode.StoreUnavailable, rcode.Of(<-ended)); d != "" {
+		t.Errorf("open watch:\n%s", d)
+	}
+	if _, err := g.Commit(ctx, store.NewTxn().Put("w/1", []byte("2"))); err == nil {
+		t.Error("a write succeeded")
+	}
+	if err := g.Watch(ctx, "w/", rev, func(store.Change) { t.Error("a change was reported") }); err == nil {
+		t.Error("a watch ended without an error")
+	}
+	srv.Set(standkv.Control{})
+	kv, err := g.Get(ctx, "w/1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff("1", string(kv.Value())); d != "" {
+		t.Error(d)
+	}
+}
+
+// gate reports each wait on a channel, so that a test can advance the clock
+// once the server waits.
+type gate struct {
+	*clock.Fake
+	waits chan time.Duration
+}
+
+func newGate() gate {
+	return gate{clock.NewFake(time.UnixMilli(1_800_000_000_000)), make(chan time.Duration, 100)}
+}
+
+func (g gate) After(d time.Duration) <-chan time.Time {
+	ch := g.Fake.After(d)
+	g.waits <- d
+	return ch
+}
+
+// Guards against a slow service that takes up a call before the delay.
+func TestSlow(t *testing.T) {
+	clk := newGate()
+	srv, g := serve(t, standkv.Config{}, clk)
+	srv.Set(standkv.Control{SlowMS: 700})
+	done := make(chan error, 1)
+	go func() {
+		_, err := g.Commit(context.Background(), store.NewTxn().Put("k", nil))
+		done <- err
+	}()
+	if d := cmp.Diff(700*time.Millisecond, <-clk.waits); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(0, len(srv.History("", 0))); d != "" {
+		t.Error(d)
+	}
+	clk.Advance(700 * time.Millisecond)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a stand-in that takes more calls than the platform's service.
+func TestRates(t *testing.T) {
+	clk := newGate()
+	srv, g := serve(t, standkv.Config{WritesPerSecond: 3, ReadsPerSecond: 5}, clk)
+	ctx := context.Background()
+	second := func() (reads, writes int) {
+		for range 10 {
+			if _, _, err := g.List(ctx, ""); err == nil {
+				reads++
+			}
+			_, err := g.Commit(ctx, store.NewTxn().Put("k", nil))
+			if err == nil {
+				writes++
+			} else if !rcode.Is(err, rcode.StoreUnavailable) {
+				t.Error(err)
+			}
+		}
+		return reads, writes
+	}
+	for range 2 {
+		reads, writes := second()
+		if d := cmp.Diff([]int{5, 3}, []int{reads, writes}); d != "" {
+			t.Error(d)
+		}
+		clk.Advance(time.Second)
+	}
+	s := srv.Stats()
+	got := map[string]int64{"refused": s.Refused, "reads": s.Reads, "writes": s.Writes, "peak": int64(s.PeakReadsPerSec)}
+	if d := cmp.Diff(map[string]int64{"refused": 24, "reads": 10, "writes": 6, "peak": 5}, got); d != "" {
+		t.Error(d)
+	}
+}
--- a/stand/wrkr/record.go
+++ b/stand/wrkr/record.go
@@ -56,9 +56,11 @@
 	ID       string     `json:"id"`
 	Capacity amount.Vec `json:"capacity"`
 	// Peak is the largest sum of the sizes of tasks that ran at once.
-	Peak    amount.Vec `json:"peak"`
-	Starts  []Record   `json:"starts"`
-	Dropped int64      `json:"dropped"`
+	Peak amount.Vec `json:"peak"`
+	// Held counts the calls that wait for the end of a pause.
+	Held    int      `json:"held"`
+	Starts  []Record `json:"starts"`
+	Dropped int64    `json:"dropped"`
 }
 
 // Stats returns the record of what the worker ran.
@@ -66,5 +68,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(w.clk.Wall())
-	return Stats{ID: w.cfg.ID, Capacity: w.cfg.Capacity, Peak: w.peak, Starts: w.records.all(), Dropped: w.records.dropped}
+	return Stats{
+		ID: w.cfg.ID, Capacity: w.cfg.Capacity, Peak: w.peak, Held: w.held,
+		Starts: w.records.all(), Dropped: w.records.dropped,
+	}
 }
--- a/stand/wrkr/wrkr.go
+++ b/stand/wrkr/wrkr.go
@@ -60,6 +60,7 @@
 	mu      sync.Mutex
 	control Control
 	resumed chan struct{}
+	held    int
 	tasks   map[string]*task
 	order   []string
 	peak    amount.Vec
@@ -69,8 +70,7 @@
 // New returns a worker without tasks.
 func New(cfg Config, clk clock.Clock) *Worker {
 	cfg.Defaults()
-	w := &Worker{cfg: cfg, clk: clk, tasks: map[string]*task{}, resumed: make(chan struct{})}
-	close(w.resumed)
+	w := &Worker{cfg: cfg, clk: clk, tasks: map[string]*task{}}
 	w.Server = httpd.New(w.handle)
 	return w
 }
@@ -124,17 +124,18 @@
 		return
 	}
 	w.mu.Lock()
-	resumed := w.resumed
-	w.mu.Unlock()
-	<-resumed
-	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.waitResumed()
 	if w.control.Dead {
 		httpd.Drop(ctx)
 		return
 	}
 	now := w.clk.Wall()
 	w.advance(now)
+	w.serve(ctx, path, now)
+}
+
+func (w *Worker) serve(ctx *fasthttp.RequestCtx, path string, now time.Time) {
 	switch {
 	case path == "/v1/tasks" && ctx.IsPost():
 		w.start(ctx, now)
@@ -149,6 +150,18 @@
 	}
 }
 
+// waitResumed releases w.mu while the worker is paused.
+func (w *Worker) waitResumed() {
+	for w.control.Pause {
+		resumed := w.resumed
+		w.held++
+		w.mu.Unlock()
+		<-resumed
+		w.mu.Lock()
+		w.held--
+	}
+}
+
 func (w *Worker) start(ctx *fasthttp.RequestCtx, now time.Time) {
 	var s Start
 	if !httpd.Decode(ctx, &s) {
--- a/stand/wrkr/wrkr_test.go
+++ b/stand/wrkr/wrkr_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -108,3 +109,161 @@
 		})
 	}
 }
+
+// status returns one task as the worker reports it, without renewing it.
+func (r rig) status(t *testing.T, id string) agent.TaskStatus {
+	t.Helper()
+	list, err := r.cli.Renew(context.Background(), r.addr, r.clk.Wall(), nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range list {
+		if s.ID() == id {
+			return s
+		}
+	}
+	t.Fatalf("task %s is not on the list", id)
+	return agent.TaskStatus{}
+}
+
+// Guards against a run time, an exit or an acknowledgement that differs from
+// what was asked.
+func TestEnd(t *testing.T) {
+	r := newRig(t)
+	use := amount.New(800, 256, 0, 0)
+	r.start(t, r.task("ok").WithRun(5000, use, agent.ExitOK))
+	r.start(t, r.task("bad").WithRun(5000, use, agent.ExitFail))
+	r.start(t, r.task("resumed").WithRun(9000, use, agent.ExitOK).WithCheckpoint(4000))
+	r.start(t, r.task("stopped"))
+	if err := r.cli.Stop(context.Background(), r.addr, "stopped"); err != nil {
+		t.Fatal(err)
+	}
+	r.clk.Advance(5*time.Second - time.Millisecond)
+	want := map[string]agent.State{
+		"ok": agent.StateRunning, "bad": agent.StateRunning, "resumed": agent.StateRunning, "stopped": agent.StateStopped,
+	}
+	if d := cmp.Diff(want, r.renew(t, nil, []string{"ok"})); d != "" {
+		t.Errorf("before the end:\n%s", d)
+	}
+	r.clk.Advance(time.Millisecond)
+	want = map[string]agent.State{"bad": agent.StateFailed, "resumed": agent.StateDone, "stopped": agent.StateStopped}
+	if d := cmp.Diff(want, r.renew(t, nil, []string{"ok"})); d != "" {
+		t.Errorf("after the end:\n%s", d)
+	}
+	err := r.cli.Start(context.Background(), r.addr, r.task("bad"))
+	if d := cmp.Diff(rcode.IDReused, rcode.Of(err)); d != "" {
+		t.Errorf("start of an ended id:\n%s", d)
+	}
+}
+
+// Guards against throttling without effect and against progress that is lost
+// when it was saved.
+func TestThrottleAndCheckpoint(t *testing.T) {
+	r := newRig(t)
+	ctx := context.Background()
+	r.start(t, r.task("a").WithRun(10_000, amount.New(800, 256, 0, 0), agent.ExitOK))
+	r.clk.Advance(2 * time.Second)
+	if err := r.cli.Throttle(ctx, r.addr, "a"); err != nil {
+		t.Fatal(err)
+	}
+	r.clk.Advance(4 * time.Second)
+	if err := r.cli.Checkpoint(ctx, r.addr, "a"); err != nil {
+		t.Fatal(err)
+	}
+	s := r.status(t, "a")
+	got := []any{s.State(), s.CheckpointMS(), s.Used()}
+	want := []any{agent.StateThrottled, int64(4000), amount.New(400, 256, 0, 0)}
+	if d := cmp.Diff(want, got, cmp.AllowUnexported(amount.Vec{})); d != "" {
+		t.Error(d)
+	}
+	if err := r.cli.Resume(ctx, r.addr, "a"); err != nil {
+		t.Fatal(err)
+	}
+	r.clk.Advance(6 * time.Second)
+	s = r.status(t, "a")
+	if d := cmp.Diff(agent.StateDone, s.State()); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(12*time.Second, s.Ended().Sub(s.Started())); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(rcode.JobUnknown, rcode.Of(r.cli.Stop(ctx, r.addr, "none"))); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against usage that the worker reports without its lag.
+func TestUsageLag(t *testing.T) {
+	r := newRig(t)
+	r.start(t, r.task("a"))
+	r.clk.Advance(2*time.Second - 1)
+	if d := cmp.Diff("cpu=0m memory=0MiB accelerators=0 requests=0", r.status(t, "a").Used().String()); d != "" {
+		t.Error(d)
+	}
+	r.clk.Advance(1)
+	s := r.status(t, "a")
+	if d := cmp.Diff("cpu=800m memory=256MiB accelerators=0 requests=0", s.Used().String()); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(int64(2000), s.UsedAgeMS()); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against a record that hides an overfilled worker: tasks count from
+// their start to their end and no longer.
+func TestPeak(t *testing.T) {
+	r := newRig(t)
+	for _, id := range []string{"a", "b", "c", "d", "e"} {
+		r.start(t, r.task(id))
+	}
+	r.clk.Advance(20 * time.Second)
+	r.start(t, r.task("f"))
+	s := r.w.Stats()
+	if d := cmp.Diff(amount.New(5000, 2560, 0, 0), s.Peak, cmp.AllowUnexported(amount.Vec{})); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(6, len(s.Starts)); d != "" {
+		t.Error(d)
+	}
+}
+
+// Guards against faults that differ from those of a failing, dead or paused
+// worker.
+func TestFaults(t *testing.T) {
+	r := newRig(t)
+	ctx := context.Background()
+	r.w.Set(wrkr.Control{FailAll: true})
+	r.start(t, r.task("a"))
+	if d := cmp.Diff(agent.StateFailed, r.status(t, "a").State()); d != "" {
+		t.Errorf("fail_all:\n%s", d)
+	}
+	r.w.Set(wrkr.Control{})
+	r.start(t, r.task("b"))
+	r.w.Set(wrkr.Control{Dead: true})
+	if d := cmp.Diff(rcode.OutcomeUnknown, rcode.Of(r.cli.Start(ctx, r.addr, r.task("c")))); d != "" {
+		t.Errorf("dead:\n%s", d)
+	}
+	r.w.Set(wrkr.Control{Pause: true})
+	held := make(chan error, 1)
+	task := r.task("d")
+	go func() { held <- r.cli.Start(ctx, r.addr, task) }()
+	for r.w.Stats().Held == 0 && len(held) == 0 {
+		runtime.Gosched()
+	}
+	r.clk.Advance(20 * time.Second)
+	r.w.Set(wrkr.Control{})
+	if d := cmp.Diff(rcode.DeadlinePassed, rcode.Of(<-held)); d != "" {
+		t.Errorf("a start held until its lease had passed:\n%s", d)
+	}
+	if d := cmp.Diff(map[string]agent.State{}, r.renew(t, nil, nil)); d != "" {
+		t.Errorf("after death:\n%s", d)
+	}
+	var ended []int64
+	for _, s := range r.w.Stats().Starts {
+		ended = append(ended, s.EndedUnixMS)
+	}
+	if d := cmp.Diff([]int64{base.UnixMilli(), base.UnixMilli()}, ended); d != "" {
+		t.Errorf("ends recorded:\n%s", d)
+	}
+}
