--- a/entry/front/calls.go
+++ b/entry/front/calls.go
@@ -64,7 +64,7 @@
 	f.log.Debug("request answered", zap.String("id", req.ID()), zap.String("queue", queue))
 	ctx.SetStatusCode(resp.Status())
 	ctx.SetContentType(resp.ContentType())
-	ctx.Response.Header.Set("X-Code", string(rcode.OK))
+	ctx.Response.Header.Set(headerCode, string(rcode.OK))
 	ctx.SetBody(resp.Body())
 }
 
@@ -106,8 +106,12 @@
 	}
 	repeatable := strings.EqualFold(string(ctx.Request.Header.Peek("X-Repeatable")), "true")
 	ct := string(ctx.Request.Header.ContentType())
+	path := "/"
+	if q := ctx.URI().QueryString(); len(q) > 0 {
+		path += "?" + string(q)
+	}
 	return route.NewRequest(id, grant, q, deadline, route.WithCallerID(mine), route.WithRepeatable(repeatable),
-		route.WithPayload("POST", "/", ct, append([]byte(nil), body...))), nil
+		route.WithPayload("POST", path, ct, append([]byte(nil), body...))), nil
 }
 
 func (f *Front) deadline(ctx *fasthttp.RequestCtx) (time.Time, error) {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -47,6 +47,8 @@
 	idleTimeout = 120 * time.Second
 	// maxConns bounds the callers' connections of one VM.
 	maxConns = 8192
+	// headerCode carries the result code of every response.
+	headerCode = "X-Result-Code"
 	// retryAfterSeconds is sent with codes that may succeed later.
 	retryAfterSeconds = "1"
 )
@@ -238,7 +240,7 @@
 		ctx.Response.Header.Set("Retry-After", retryAfterSeconds)
 	}
 	f.write(ctx, status, Failure{Code: code, Message: info.Text() + ": " + err.Error()})
-	ctx.Response.Header.Set("X-Code", string(code))
+	ctx.Response.Header.Set(headerCode, string(code))
 }
 
 func (f *Front) write(ctx *fasthttp.RequestCtx, status int, v any) {
--- a/entry/member/serve.go
+++ b/entry/member/serve.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/panjf2000/gnet/v2"
-	"github.com/panjf2000/gnet/v2/pkg/logging"
 	"go.uber.org/zap"
 
 	"limpethitch.example/core/logs"
@@ -30,6 +29,16 @@
 // NewService returns the service of m.
 func NewService(m *Members, log *zap.Logger) *Service { return &Service{members: m, log: log} }
 
+// quiet passes gnet's warnings and errors on as log events of this program; gnet
+// would write its own lines in another form.
+type quiet struct{ *zap.SugaredLogger }
+
+// Debugf implements gnet's logger.
+func (quiet) Debugf(string, ...any) {}
+
+// Infof implements gnet's logger.
+func (quiet) Infof(string, ...any) {}
+
 // OnBoot implements gnet.EventHandler.
 func (s *Service) OnBoot(eng gnet.Engine) gnet.Action {
 	s.eng = eng
@@ -58,7 +67,7 @@
 	defer func() { _ = sock.Close() }()
 	done := make(chan error, 1)
 	go func() {
-		done <- gnet.Run(s, "udp://"+addr, gnet.WithLogLevel(logging.ErrorLevel))
+		done <- gnet.Run(s, "udp://"+addr, gnet.WithLogger(quiet{s.log.Sugar()}))
 	}()
 	select {
 	case err := <-done:
--- a/entry/roll/publish.go
+++ b/entry/roll/publish.go
@@ -137,11 +137,10 @@
 
 // DataCentre is the progress of a rollout in one data centre.
 type DataCentre struct {
-	name        string
-	inService   bool
-	confirmed   bool
-	confirmedMS int64
-	blindMS     int64
+	name      string
+	inService bool
+	confirmed bool
+	blindMS   int64
 }
 
 // Name returns the data centre's name.
--- a/entry/roll/roll.go
+++ b/entry/roll/roll.go
@@ -87,7 +87,6 @@
 	seenAt  map[int64]clock.Mono
 	blind   map[int64]time.Duration
 	fetch   chan string
-	storeAt clock.Mono
 	storeOK bool
 }
 
--- a/entry/serve/config.go
+++ b/entry/serve/config.go
@@ -20,7 +20,7 @@
 	Peer       string `help:"IP:PORT for other entry VMs (TCP and UDP)." env:"LIMPET_PEER" default:"127.0.0.1:7100"`
 	Seeds      string `help:"IP:PORT of other entry VMs, separated by commas, for a start without the VM list." env:"LIMPET_SEEDS"`
 	Store      string `help:"URL of the platform's key-value service." env:"LIMPET_STORE" required:""`
-	VMs        string `help:"URL of the platform's VM list." env:"LIMPET_VMS" required:""`
+	VMs        string `name:"vms" help:"URL of the platform's VM list." env:"LIMPET_VMS" required:""`
 	Secret     string `help:"Secret shared by all entry VMs, at least 16 characters; or @FILE." env:"LIMPET_SECRET" required:""`
 	Approvers  string `help:"Approvers' public keys, NAME=BASE64 separated by commas." env:"LIMPET_APPROVERS" required:""`
 	Approvals  int    `help:"How many approvers must have signed a bundle." env:"LIMPET_APPROVALS" default:"1"`
--- a/stand/bckend/bckend.go
+++ b/stand/bckend/bckend.go
@@ -28,8 +28,11 @@
 
 // Headers of the protocol between entry VMs and backend servers.
 const (
-	HeaderID      = "X-Request-Id"
-	HeaderWork    = "X-Work-Ms"
+	HeaderID   = "X-Request-Id"
+	HeaderWork = "X-Work-Ms"
+	// ArgWork is the query argument with the meaning of HeaderWork, which an
+	// entry VM passes on.
+	ArgWork       = "work_ms"
 	HeaderOutcome = "X-Outcome"
 	NotRun        = "not-run"
 )
@@ -190,7 +193,11 @@
 func (b *Backend) work(ctx *fasthttp.RequestCtx) {
 	id := string(ctx.Request.Header.Peek(HeaderID))
 	ms := b.cfg.WorkMS
-	if v := ctx.Request.Header.Peek(HeaderWork); len(v) > 0 {
+	v := ctx.Request.Header.Peek(HeaderWork)
+	if len(v) == 0 {
+		v = ctx.QueryArgs().Peek(ArgWork)
+	}
+	if len(v) > 0 {
 		n, err := strconv.ParseInt(string(v), 10, 64)
 		if err != nil || n < 0 {
 			httpd.Refuse(ctx, fasthttp.StatusBadRequest, HeaderWork+" is not a number")
--- a/stand/caller/request.go
+++ b/stand/caller/request.go
@@ -22,9 +22,11 @@
 	HeaderRepeatable = "X-Repeatable"
 	HeaderRequestID  = "X-Request-Id"
 	HeaderResultCode = "X-Result-Code"
-	HeaderWork       = "X-Work-Ms"
 )
 
+// argWork is passed on to the stand-in backend server.
+const argWork = "work_ms"
+
 // Request is one request to an interactive queue. Its fields are those of the
 // call and are set by the user of the package.
 type Request struct {
@@ -80,7 +82,11 @@
 func (c *Caller) Send(ctx context.Context, r Request) Result {
 	req := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(req)
-	req.SetRequestURI("/v1/queues/" + r.Queue + "/requests")
+	uri := "/v1/queues/" + r.Queue + "/requests"
+	if r.WorkMS > 0 {
+		uri += "?" + argWork + "=" + strconv.FormatInt(r.WorkMS, 10)
+	}
+	req.SetRequestURI(uri)
 	req.Header.SetMethod(fasthttp.MethodPost)
 	setKey(req, r.Key)
 	if r.ID != "" {
@@ -92,9 +98,6 @@
 	if r.Repeatable {
 		req.Header.Set(HeaderRepeatable, "true")
 	}
-	if r.WorkMS > 0 {
-		req.Header.Set(HeaderWork, strconv.FormatInt(r.WorkMS, 10))
-	}
 	req.SetBodyRaw(r.Body)
 	res := c.exchange(ctx, req, r.Class, r.Due)
 	if res.code == rcode.OK {
--- a/stand/wrkr/task.go
+++ b/stand/wrkr/task.go
@@ -1,6 +1,7 @@
 package wrkr
 
 import (
+	"encoding/json"
 	"time"
 
 	"limpethitch.example/core/amount"
@@ -43,6 +44,28 @@
 	Payload      []byte     `json:"payload,omitempty"`
 }
 
+// program is what a task's payload makes the stand-in do: how long it runs, what
+// it uses and how it exits.
+func (s *Start) program() {
+	var p struct {
+		RunMS int64      `json:"run_ms"`
+		Use   amount.Vec `json:"use"`
+		Exit  string     `json:"exit"`
+	}
+	if len(s.Payload) == 0 || json.Unmarshal(s.Payload, &p) != nil {
+		return
+	}
+	if p.RunMS > 0 {
+		s.RunMS = p.RunMS
+	}
+	if !p.Use.IsZero() {
+		s.Use = p.Use
+	}
+	if p.Exit != "" {
+		s.Exit = p.Exit
+	}
+}
+
 // Status is one element of the list of tasks.
 type Status struct {
 	ID            string     `json:"id"`
