Add the demo of both deployments with faults and checks

Cause: the eleven invariants have to be judged from what workers, backend servers and callers saw, under kills, an outage, withdrawals and planned stops.

--- a/Makefile
+++ b/Makefile
@@ -29,3 +29,6 @@
 
 generate:
 	cd entry/peer && protoc --go_out=paths=source_relative:. --go-drpc_out=paths=source_relative:. peer.proto
+
+demo: build
+	bin/demo
