--- a/stand/bckend/bckend.go
+++ b/stand/bckend/bckend.go
@@ -112,7 +112,7 @@
 // New returns an idle backend server.
 func New(cfg Config, clk clock.Clock) *Backend {
 	cfg.Defaults()
-	b := &Backend{cfg: cfg, clk: clk, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), runs: newRuns()}
+	b := &Backend{cfg: cfg, clk: clk, rng: rand.New(rand.NewPCG(cfg.Seed, 0)), runs: newRuns(runsSize)}
 	b.stats.ID, b.stats.Service, b.stats.Seed = cfg.ID, cfg.Service, cfg.Seed
 	b.Server = httpd.New(b.handle)
 	return b
--- a/stand/bckend/stats.go
+++ b/stand/bckend/stats.go
@@ -33,22 +33,23 @@
 	return out
 }
 
-// runs counts how often each of the last runsSize request ids ran.
+// runs counts how often each of the last size request ids ran.
 type runs struct {
+	size    int
 	count   map[string]int
 	order   []string
 	next    int
 	dropped int64
 }
 
-func newRuns() runs { return runs{count: map[string]int{}} }
+func newRuns(size int) runs { return runs{size: size, count: map[string]int{}} }
 
 func (r *runs) add(id string) {
 	r.count[id]++
 	if r.count[id] > 1 {
 		return
 	}
-	if len(r.order) < runsSize {
+	if len(r.order) < r.size {
 		r.order = append(r.order, id)
 		return
 	}
--- a/stand/standkv/standkv.go
+++ b/stand/standkv/standkv.go
@@ -82,7 +82,7 @@
 	cfg.Defaults()
 	s := &Server{
 		clk: clk, mem: newMemory(cfg), leases: newLeases(), upset: make(chan struct{}),
-		counts: newCounts(cfg),
+		counts: newCounts(cfg), history: history{maxCount: historyCount, maxBytes: historyBytes},
 	}
 	s.Server = httpd.New(s.handle)
 	return s
--- a/stand/standkv/standkv_test.go
+++ b/stand/standkv/standkv_test.go
@@ -117,8 +117,10 @@
 	put(t, g, "other", "x")
 	ctx, cancel := context.WithCancel(context.Background())
 	keys, ended := watch(ctx, g, first)
+	got := take(keys, 1)
 	put(t, g, "w/2", "2")
-	if d := cmp.Diff([]string{"w/1", "w/2"}, take(keys, 2)); d != "" {
+	got = append(got, take(keys, 1)...)
+	if d := cmp.Diff([]string{"w/1", "w/2"}, got); d != "" {
 		t.Error(d)
 	}
 	cancel()
--- a/stand/standkv/stats.go
+++ b/stand/standkv/stats.go
@@ -145,10 +145,12 @@
 	historyCount = 500_000
 )
 
+// history holds the last writes, at most count of them with bytes of values.
 type history struct {
-	writes  []Write
-	bytes   int
-	dropped int64
+	maxCount, maxBytes int
+	writes             []Write
+	bytes              int
+	dropped            int64
 }
 
 func (h *history) add(rev int64, at time.Time, o store.Op) {
@@ -158,7 +160,7 @@
 	}
 	h.writes = append(h.writes, w)
 	h.bytes += len(w.Value)
-	for len(h.writes) > historyCount || h.bytes > historyBytes {
+	for len(h.writes) > h.maxCount || h.bytes > h.maxBytes {
 		h.bytes -= len(h.writes[0].Value)
 		h.writes[0] = Write{}
 		h.writes = h.writes[1:]
--- a/stand/vmlist/vmlist_test.go
+++ b/stand/vmlist/vmlist_test.go
@@ -107,3 +107,40 @@
 		}
 	}
 }
+
+// Guards against a list that its reader refuses as a whole because of one bad
+// group, and against an ended VM that comes back.
+func TestRefused(t *testing.T) {
+	r := newRig(t)
+	r.call(t, "PUT", "/ended", worker())
+	r.call(t, "DELETE", "/ended", nil)
+	odd, bare := worker(), worker()
+	odd.Labels["role"] = "router"
+	bare.Labels = nil
+	tests := map[string]struct {
+		method, path string
+		group        *fleet.Group
+		want         int
+	}{
+		"ended id":        {"PUT", "/ended", worker(), 409},
+		"unknown role":    {"PUT", "/w1", odd, 400},
+		"no labels":       {"PUT", "/w1", bare, 400},
+		"no body":         {"PUT", "/w1", nil, 400},
+		"leaving unknown": {"POST", "/w1/leaving", nil, 404},
+		"delete unknown":  {"DELETE", "/w1", nil, 404},
+		"delete twice":    {"DELETE", "/ended", nil, 404},
+		"no id":           {"PUT", "", worker(), 404},
+		"unknown action":  {"POST", "/ended/stop", nil, 404},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if d := cmp.Diff(tt.want, r.call(t, tt.method, tt.path, tt.group)); d != "" {
+				t.Error(d)
+			}
+		})
+	}
+	r.clk.Advance(2 * time.Second)
+	if d := cmp.Diff(map[string]fleet.State{}, r.states(t)); d != "" {
+		t.Error(d)
+	}
+}
--- a/stand/wrkr/record.go
+++ b/stand/wrkr/record.go
@@ -24,8 +24,9 @@
 	EndedUnixMS int64      `json:"ended_unix_ms,omitempty"`
 }
 
-// ring holds the last ringSize records.
+// ring holds the last size records.
 type ring struct {
+	size    int
 	list    []*record
 	next    int
 	dropped int64
@@ -33,7 +34,7 @@
 
 func (r *ring) add(s Start, now time.Time) *record {
 	rec := &record{Record{ID: s.ID, Attempt: s.Attempt, Job: s.Job, Team: s.Team, Size: s.Size, AtUnixMS: now.UnixMilli()}}
-	if len(r.list) < ringSize {
+	if len(r.list) < r.size {
 		r.list = append(r.list, rec)
 		return rec
 	}
--- /dev/null
+++ b/stand/wrkr/record_test.go
@@ -0,0 +1,25 @@
+package wrkr
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against a ring that keeps the wrong records, or loses the end of one
+// that it keeps.
+func TestRing(t *testing.T) {
+	r := ring{size: 2}
+	for _, id := range []string{"a", "b", "c"} {
+		rec := r.add(Start{ID: id}, time.UnixMilli(1))
+		rec.end(time.UnixMilli(2))
+	}
+	want := []Record{{ID: "b", AtUnixMS: 1, EndedUnixMS: 2}, {ID: "c", AtUnixMS: 1, EndedUnixMS: 2}}
+	if d := cmp.Diff(want, r.all(), cmp.Comparer(func(a, b Record) bool { return a == b })); d != "" {
+		t.Error(d)
+	}
+	if d := cmp.Diff(int64(1), r.dropped); d != "" {
+		t.Error(d)
+	}
+}
--- a/stand/wrkr/wrkr.go
+++ b/stand/wrkr/wrkr.go
@@ -70,7 +70,7 @@
 // New returns a worker without tasks.
 func New(cfg Config, clk clock.Clock) *Worker {
 	cfg.Defaults()
-	w := &Worker{cfg: cfg, clk: clk, tasks: map[string]*task{}}
+	w := &Worker{cfg: cfg, clk: clk, tasks: map[string]*task{}, records: ring{size: ringSize}}
 	w.Server = httpd.New(w.handle)
 	return w
 }
--- a/stand/wrkr/wrkr_test.go
+++ b/stand/wrkr/wrkr_test.go
@@ -77,6 +77,10 @@
 	r.start(t, r.task("left"))
 	r.clk.Advance(15 * time.Second)
 	r.renew(t, []string{"kept"}, nil)
+	// A renewal that was delayed on its way must not shorten the lease.
+	if _, err := r.cli.Renew(context.Background(), r.addr, base.Add(21*time.Second), []string{"kept"}, nil); err != nil {
+		t.Fatal(err)
+	}
 	r.clk.Advance(10 * time.Second)
 	want := map[string]agent.State{"kept": agent.StateRunning, "left": agent.StateLapsed}
 	if d := cmp.Diff(want, r.renew(t, []string{"kept", "left"}, nil)); d != "" {
