Let a planned stop outlast its peers and the balancer

Cause: of 2,321 requests around a planned stop 8 were cut off: a peer's call was under way when the VM closed its peer address, and kept-alive connections of the balancer were closed under a request. Change: after the shards have moved the VM goes on answering for 3.5 s; the next owner is told at once instead of reading the record within a second; the caller library closes its idle connections to a VM whose check fails. A worker's program is the job's payload, no longer fields of the start call that only a stand-in understands. Reads of the store have no unknown outcome; Watch returns when its context ended before the dial; an unknown VM state is a fault.

--- a/core/amount/amount.go
+++ b/core/amount/amount.go
@@ -48,7 +48,14 @@
 
 // Sub returns v - o; parts may become negative.
 func (v Vec) Sub(o Vec) Vec {
-	return Vec{add(v.cpu, -o.cpu), add(v.mem, -o.mem), add(v.acc, -o.acc), add(v.req, -o.req)}
+	return Vec{sub(v.cpu, o.cpu), sub(v.mem, o.mem), sub(v.acc, o.acc), sub(v.req, o.req)}
+}
+
+func sub(a, b int64) int64 {
+	if b == math.MinInt64 {
+		return add(add(a, math.MaxInt64), 1)
+	}
+	return add(a, -b)
 }
 
 func add(a, b int64) int64 {
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -162,8 +162,12 @@
 	default:
 		return VM{}, rcode.New(rcode.BadRequest, "unknown role %q", v.role)
 	}
-	if v.state == "" {
+	switch v.state {
+	case "":
 		v.state = StateLive
+	case StateLive, StateLeaving:
+	default:
+		return VM{}, rcode.New(rcode.BadRequest, "unknown state %q", v.state)
 	}
 	var err error
 	num := func(name string) int64 {
--- a/core/store/gateway.go
+++ b/core/store/gateway.go
@@ -166,7 +166,7 @@
 func (g *Gateway) Get(ctx context.Context, key string) (KV, error) {
 	var out rangeReply
 	if err := g.call(ctx, "/v3/kv/range", rangeRequest{Key: []byte(key)}, &out); err != nil {
-		return KV{}, err
+		return KV{}, rcode.Wrap(err, rcode.StoreUnavailable, "store.Get %s", key)
 	}
 	if len(out.KVs) == 0 {
 		return KV{}, rcode.New(rcode.NotFound, "store.Get %s", key)
@@ -179,7 +179,7 @@
 	var out rangeReply
 	req := rangeRequest{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix)}
 	if err := g.call(ctx, "/v3/kv/range", req, &out); err != nil {
-		return nil, 0, err
+		return nil, 0, rcode.Wrap(err, rcode.StoreUnavailable, "store.List %s", prefix)
 	}
 	kvs := make([]KV, 0, len(out.KVs))
 	for _, k := range out.KVs {
@@ -196,7 +196,7 @@
 	}
 	for _, o := range t.ops {
 		if len(o.value) > MaxValue {
-			return Result{}, rcode.New(rcode.StoreUnavailable, "store.Commit: %s has %d bytes, more than %d", o.key, len(o.value), MaxValue)
+			return Result{}, rcode.New(rcode.BodyTooLarge, "store.Commit: %s has %d bytes, more than %d", o.key, len(o.value), MaxValue)
 		}
 		if o.remove {
 			req.Success = append(req.Success, jsonOp{Delete: &jsonDelete{Key: []byte(o.key)}})
@@ -276,8 +276,13 @@
 		Dial: func(addr string) (net.Conn, error) {
 			c, err := fasthttp.DialTimeout(addr, g.cfg.CallTimeout)
 			mu.Lock()
+			defer mu.Unlock()
+			if err == nil && ctx.Err() != nil {
+				// ctx ended before there was a connection to close.
+				_ = c.Close()
+				return nil, ctx.Err()
+			}
 			conn = c
-			mu.Unlock()
 			return c, err
 		},
 	}
--- a/demo/cluster.go
+++ b/demo/cluster.go
@@ -187,10 +187,10 @@
 			return err
 		}
 		for n := range dc.Workers {
-			c.workers = append(c.workers, machine{id: fmt.Sprintf("w-%s-%d", dc.Name, n), dc: dc.Name, addr: c.addr(first + n)})
+			c.workers = append(c.workers, machine{id: fmt.Sprintf("w-%s-%d", dc.Name, n+1), dc: dc.Name, addr: c.addr(first + n)})
 		}
 		for n := range dc.Backends {
-			c.backends = append(c.backends, machine{id: fmt.Sprintf("b-%s-%d", dc.Name, n), dc: dc.Name, addr: c.addr(firstBackend + n)})
+			c.backends = append(c.backends, machine{id: fmt.Sprintf("b-%s-%d", dc.Name, n+1), dc: dc.Name, addr: c.addr(firstBackend + n)})
 		}
 	}
 	if err := c.awaitUp(ctx, c.addr(portVMs), "/vms"); err != nil {
--- a/demo/faults.go
+++ b/demo/faults.go
@@ -131,7 +131,13 @@
 }
 
 func (f *faults) leave() error {
-	f.leaving = f.c.backends[0]
+	// The busiest one, so that the check sees its requests end.
+	most := -1
+	for _, b := range f.c.backends {
+		if n, err := runsAt(b); err == nil && n > most {
+			f.leaving, most = b, n
+		}
+	}
 	f.leavingMS = time.Now().UnixMilli()
 	_, _, err := call(fasthttp.MethodPost, "http://"+f.c.addr(portVMs)+"/vms/"+f.leaving.id+"/leaving", nil, "")
 	go func() {
--- a/demo/load.go
+++ b/demo/load.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"strings"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	team       string
 	repeatable bool
 	atMS       int64
+	waitMS     int64
+	queue      string
 	code       rcode.Code
 	err        string
 }
@@ -131,7 +134,7 @@
 		r.ID = s.id
 	}
 	res := l.caller.Send(ctx, r)
-	s.code = res.Code()
+	s.code, s.queue, s.waitMS = res.Code(), in.Queue, res.Wait().Milliseconds()
 	if res.Err() != nil {
 		s.err = res.Err().Error()
 	}
@@ -183,6 +186,8 @@
 	slots := make(chan struct{}, 64)
 	for _, j := range l.jobs {
 		if j.load.DueMS == 0 {
+			// A service runs on; its state is read once.
+			wg.Go(func() { l.await(ctx, j, time.Now().Add(time.Millisecond)) })
 			continue
 		}
 		wg.Go(func() {
@@ -196,7 +201,8 @@
 
 func (l *load) await(ctx context.Context, j *job, until time.Time) {
 	for time.Now().Before(until) && ctx.Err() == nil {
-		got, res := l.caller.Wait(ctx, j.load.Queue+" (status)", j.key, j.id, time.Now().Add(5*time.Second))
+		wait := min(5*time.Second, time.Until(until))
+		got, res := l.caller.Wait(ctx, j.load.Queue+" (status)", j.key, j.id, time.Now().Add(wait))
 		if res.Code() == rcode.JobUnknown {
 			j.state, j.code = "forgotten", res.Code()
 			return
@@ -223,4 +229,12 @@
 	return v.EndedMS
 }
 
-func (s sent) about(addr string) bool { return strings.Contains(s.err, addr) }
+// save writes one line for each request, for a closer look at a run.
+func (l *load) save(path string) error {
+	var b strings.Builder
+	b.WriteString("at_unix_ms,queue,team,id,repeatable,wait_ms,code,error\n")
+	for _, s := range l.sent {
+		fmt.Fprintf(&b, "%d,%s,%s,%s,%t,%d,%s,%q\n", s.atMS, s.queue, s.team, s.id, s.repeatable, s.waitMS, s.code, s.err)
+	}
+	return os.WriteFile(path, []byte(b.String()), 0o644)
+}
--- a/demo/main.go
+++ b/demo/main.go
@@ -16,6 +16,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"time"
 
@@ -97,6 +98,9 @@
 	progress(began, "load ended, waiting for jobs to end")
 	l.finish(lctx)
 	cancel()
+	if err := l.save(filepath.Join(c.logs, "requests.csv")); err != nil {
+		return 0, err
+	}
 	rep, err := c.records()
 	if err != nil {
 		return 0, err
--- a/entry/agent/agent.go
+++ b/entry/agent/agent.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	w := agent.New(agent.Config{})
-//	t := agent.NewTask("job1.0", 1, "job1", "ana", size, lease).WithRun(60_000, use, agent.ExitOK)
+//	t := agent.NewTask("job1.0", 1, "job1", "ana", size, lease).WithPayload(program)
 //	err := w.Start(ctx, "127.0.0.1:9400", t)
 //	list, err := w.Renew(ctx, addr, lease, []string{"job1.0"}, nil)
 //
@@ -62,38 +62,19 @@
 	return false
 }
 
-// Exit says how a task ends when it is left to run.
-type Exit string
-
-// Exits of tasks.
-const (
-	ExitOK   Exit = "ok"
-	ExitFail Exit = "fail"
-)
-
 // Task is one task to start.
 type Task struct {
 	id, job, team string
 	attempt       int64
 	size          amount.Vec
 	lease         time.Time
-	runMS         int64
 	checkpointMS  int64
-	use           amount.Vec
-	exit          Exit
 	payload       []byte
 }
 
 // NewTask returns a task whose lease ends at lease.
 func NewTask(id string, attempt int64, job, team string, size amount.Vec, lease time.Time) Task {
-	return Task{id: id, attempt: attempt, job: job, team: team, size: size, lease: lease, use: size, exit: ExitOK}
-}
-
-// WithRun returns t with what a stand-in worker simulates: the milliseconds
-// the task takes, what it uses and how it exits.
-func (t Task) WithRun(runMS int64, use amount.Vec, exit Exit) Task {
-	t.runMS, t.use, t.exit = runMS, use, exit
-	return t
+	return Task{id: id, attempt: attempt, job: job, team: team, size: size, lease: lease}
 }
 
 // WithCheckpoint returns t resuming from the progress that an earlier attempt
--- a/entry/agent/agent_test.go
+++ b/entry/agent/agent_test.go
@@ -114,13 +114,12 @@
 		got = string(ctx.Method()) + " " + string(ctx.Path()) + " " + string(ctx.PostBody())
 		ctx.SetStatusCode(fasthttp.StatusCreated)
 	})
-	full := task().WithRun(60_000, amount.New(800, 256, 0, 0), agent.ExitFail).WithCheckpoint(5).WithPayload([]byte("x"))
+	full := task().WithCheckpoint(5).WithPayload([]byte("x"))
 	if err := agent.New(agent.Config{}).Start(context.Background(), addr, full); err != nil {
 		t.Fatal(err)
 	}
 	want := `POST /v1/tasks {"id":"t1","attempt":2,"job":"j1","team":"ana","size":{"cpu_milli":1000,"memory_mib":512},` +
-		`"lease_unix_ms":1800000000000,"run_ms":60000,"checkpoint_ms":5,"use":{"cpu_milli":800,"memory_mib":256},` +
-		`"exit":"fail","payload":"eA=="}`
+		`"lease_unix_ms":1800000000000,"checkpoint_ms":5,"payload":"eA=="}`
 	if d := cmp.Diff(want, got); d != "" {
 		t.Error(d)
 	}
--- a/entry/agent/client.go
+++ b/entry/agent/client.go
@@ -73,10 +73,7 @@
 	Team         string     `json:"team"`
 	Size         amount.Vec `json:"size"`
 	LeaseUnixMS  int64      `json:"lease_unix_ms"`
-	RunMS        int64      `json:"run_ms"`
 	CheckpointMS int64      `json:"checkpoint_ms,omitempty"`
-	Use          amount.Vec `json:"use"`
-	Exit         Exit       `json:"exit"`
 	Payload      []byte     `json:"payload,omitempty"`
 }
 
@@ -84,7 +81,7 @@
 func (c *Client) Start(ctx context.Context, addr string, t Task) error {
 	status, _, err := c.call(ctx, addr, "/v1/tasks", startRequest{
 		ID: t.id, Attempt: t.attempt, Job: t.job, Team: t.team, Size: t.size, LeaseUnixMS: t.lease.UnixMilli(),
-		RunMS: t.runMS, CheckpointMS: t.checkpointMS, Use: t.use, Exit: t.exit, Payload: t.payload,
+		CheckpointMS: t.checkpointMS, Payload: t.payload,
 	})
 	if err != nil {
 		return err
--- a/entry/serve/calls.go
+++ b/entry/serve/calls.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"limpethitch.example/core/logs"
 	"limpethitch.example/core/policy"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/entry/cell"
@@ -211,17 +210,20 @@
 
 // Handover implements peer.DRPCPeerServer. The state is used only if the record
 // then names this VM as the owner.
-func (c *calls) Handover(_ context.Context, in *peer.HandoverRequest) (*peer.HandoverReply, error) {
+func (c *calls) Handover(ctx context.Context, in *peer.HandoverRequest) (*peer.HandoverReply, error) {
 	out := &peer.HandoverReply{}
 	s := c.vm.shard(in.GetShard())
 	if s == nil || c.vm.draining.Load() {
 		out.Code, out.Message = codeOf(rcode.New(rcode.Draining, "%s takes no shards", c.vm.cfg.Name))
 		return out, nil
 	}
+	out.Code, out.Message = codeOf(nil)
+	if in.GetDone() {
+		c.vm.showRecords(ctx, s.dc)
+		return out, nil
+	}
 	state := in.GetState()
 	s.handed.Store(&state)
-	out.Code, out.Message = codeOf(nil)
-	c.vm.log.Debug("shard state received", logs.Err(nil)...)
 	return out, nil
 }
 
--- a/entry/serve/shards.go
+++ b/entry/serve/shards.go
@@ -289,6 +289,10 @@
 		c.Thaw()
 		return err
 	}
+	// The next owner reads the record at once instead of at its next look.
+	if _, err := v.clients.Handover(ctx, to.Addr(), &peer.HandoverRequest{Shard: s.name, Epoch: c.Epoch(), Done: true}); err != nil {
+		v.log.Debug("next owner not told", append(logs.Err(err), zap.String("shard", s.name))...)
+	}
 	v.log.Info("shard handed over", zap.String("shard", s.name), zap.String("to", to.Incarnation()))
 	return nil
 }
--- a/entry/serve/vm.go
+++ b/entry/serve/vm.go
@@ -180,9 +180,16 @@
 	}
 }
 
-// drainNotice is how long the balancer has to see that the health check turned
-// before requests are refused.
-const drainNotice = time.Second
+const (
+	// drainNotice is how long the balancer has to see that the readiness check
+	// turned, with two checks to spare, before shards move.
+	drainNotice = time.Second
+	// drainLinger is how long a VM without shards goes on accepting requests and
+	// answering peers: until every peer has dropped its last statement of
+	// ownership and the balancer's kept-alive connections were closed in
+	// responses. Ending earlier cuts off requests that are on their way.
+	drainLinger = member.Silence + time.Second
+)
 
 // Run serves until ctx ends, then hands the shards over and ends the requests
 // under way.
@@ -206,6 +213,7 @@
 	v.draining.Store(true)
 	<-v.clk.After(drainNotice)
 	v.handOverAll()
+	<-v.clk.After(drainLinger)
 	stopAPI()
 	err := <-apiDone
 	v.drainCalls()
--- a/stand/caller/caller.go
+++ b/stand/caller/caller.go
@@ -60,8 +60,11 @@
 // errDial marks a call that had no connection, so that nothing was sent.
 var errDial = errors.New("dial")
 
+// entry is one entry VM with connections of its own, which are closed when its
+// check fails: a balancer does not send on connections that the VM closed.
 type entry struct {
 	addr string
+	cli  *fasthttp.HostClient
 	up   atomic.Bool
 	sent atomic.Int64
 }
@@ -70,7 +73,6 @@
 type Caller struct {
 	cfg   Config
 	clk   clock.Clock
-	calls *fasthttp.Client
 	probe *fasthttp.Client
 	rec   *Recorder
 	next  atomic.Uint64
@@ -83,26 +85,26 @@
 func New(cfg Config, clk clock.Clock) *Caller {
 	cfg.Defaults()
 	c := &Caller{cfg: cfg, clk: clk, rec: NewRecorder()}
-	c.calls = newClient(cfg.MaxConns)
-	c.probe = newClient(cfg.MaxConns)
+	c.probe = &fasthttp.Client{NoDefaultUserAgentHeader: true, RetryIfErr: noRetry, Dial: dial}
 	c.SetAddrs(cfg.Addrs)
 	return c
 }
 
-func newClient(conns int) *fasthttp.Client {
-	return &fasthttp.Client{
-		MaxConnsPerHost:          conns,
-		NoDefaultUserAgentHeader: true,
-		// Whether a call may be sent again is for the caller to decide.
-		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		Dial: func(addr string) (net.Conn, error) {
-			c, err := fasthttp.DialTimeout(addr, time.Second)
-			if err != nil {
-				return nil, errors.Mark(err, errDial)
-			}
-			return c, nil
-		},
+// noRetry leaves it to the caller whether a call may be sent again.
+func noRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) { return false, false }
+
+func dial(addr string) (net.Conn, error) {
+	c, err := fasthttp.DialTimeout(addr, time.Second)
+	if err != nil {
+		return nil, errors.Mark(err, errDial)
 	}
+	return c, nil
+}
+
+func newEntry(addr string, conns int) *entry {
+	return &entry{addr: addr, cli: &fasthttp.HostClient{
+		Addr: addr, MaxConns: conns, NoDefaultUserAgentHeader: true, RetryIfErr: noRetry, Dial: dial,
+	}}
 }
 
 // Recorder returns what was measured so far.
@@ -120,7 +122,7 @@
 	for _, a := range addrs {
 		e := old[a]
 		if e == nil {
-			e = &entry{addr: a}
+			e = newEntry(a, c.cfg.MaxConns)
 		}
 		entries = append(entries, e)
 	}
@@ -155,7 +157,9 @@
 			e.up.Store(ok)
 			if ok {
 				up.Add(1)
+				return
 			}
+			e.cli.CloseIdleConnections()
 		})
 	}
 	wg.Wait()
@@ -189,7 +193,7 @@
 			continue
 		}
 		req.SetRequestURI("http://" + e.addr + uri)
-		err := c.calls.DoDeadline(req, resp, deadline)
+		err := e.cli.DoDeadline(req, resp, deadline)
 		if errors.Is(err, errDial) {
 			e.up.Store(false)
 			continue
--- a/stand/wrkr/task.go
+++ b/stand/wrkr/task.go
@@ -37,33 +37,26 @@
 	Team         string     `json:"team"`
 	Size         amount.Vec `json:"size"`
 	LeaseUnixMS  int64      `json:"lease_unix_ms"`
-	RunMS        int64      `json:"run_ms"`
 	CheckpointMS int64      `json:"checkpoint_ms,omitempty"`
-	Use          amount.Vec `json:"use"`
-	Exit         string     `json:"exit"`
 	Payload      []byte     `json:"payload,omitempty"`
 }
 
-// program is what a task's payload makes the stand-in do: how long it runs, what
-// it uses and how it exits.
-func (s *Start) program() {
-	var p struct {
-		RunMS int64      `json:"run_ms"`
-		Use   amount.Vec `json:"use"`
-		Exit  string     `json:"exit"`
-	}
-	if len(s.Payload) == 0 || json.Unmarshal(s.Payload, &p) != nil {
-		return
-	}
-	if p.RunMS > 0 {
-		s.RunMS = p.RunMS
-	}
-	if !p.Use.IsZero() {
-		s.Use = p.Use
-	}
-	if p.Exit != "" {
-		s.Exit = p.Exit
+// program is what the payload of a task makes the stand-in do: how long it runs,
+// what it uses and how it exits.
+type program struct {
+	RunMS int64      `json:"run_ms"`
+	Use   amount.Vec `json:"use"`
+	Exit  string     `json:"exit"`
+}
+
+// program reads the payload; a payload of another form runs for no time and uses
+// what was set aside.
+func (s *Start) program() program {
+	p := program{Exit: ExitOK}
+	if json.Unmarshal(s.Payload, &p) != nil || p.Use.IsZero() {
+		p.Use = s.Size
 	}
+	return p
 }
 
 // Status is one element of the list of tasks.
@@ -85,6 +78,7 @@
 // task moves only when it is looked at: its end follows from its progress, its
 // speed and its lease.
 type task struct {
+	prog       program
 	start      Start
 	state      State
 	lease      time.Time
@@ -100,9 +94,10 @@
 
 func newTask(s Start, now time.Time, r *record) *task {
 	saved := time.Duration(s.CheckpointMS) * time.Millisecond
+	prog := s.program()
 	return &task{
-		start: s, state: StateRunning, lease: time.UnixMilli(s.LeaseUnixMS), started: now,
-		progress: saved, progressAt: now, checkpoint: saved, use: s.Use, useSince: now, record: r,
+		start: s, prog: prog, state: StateRunning, lease: time.UnixMilli(s.LeaseUnixMS), started: now,
+		progress: saved, progressAt: now, checkpoint: saved, use: prog.Use, useSince: now, record: r,
 	}
 }
 
@@ -121,12 +116,12 @@
 	if !t.running() {
 		return
 	}
-	left := time.Duration(t.start.RunMS)*time.Millisecond - t.progress
+	left := time.Duration(t.prog.RunMS)*time.Millisecond - t.progress
 	end := t.progressAt.Add(max(left, 0) * t.speed())
 	switch {
 	case t.lease.Before(end) && !now.Before(t.lease):
 		t.end(StateLapsed, t.lease)
-	case !now.Before(end) && t.start.Exit == ExitFail:
+	case !now.Before(end) && t.prog.Exit == ExitFail:
 		t.end(StateFailed, end)
 	case !now.Before(end):
 		t.end(StateDone, end)
@@ -152,7 +147,7 @@
 		return
 	}
 	t.state = StateRunning
-	u := t.start.Use
+	u := t.prog.Use
 	if on {
 		t.state = StateThrottled
 		u = amount.New(u.CPUMilli()/throttleFactor, u.MemoryMiB(), u.Accelerators(), u.Requests())
--- a/stand/wrkr/wrkr.go
+++ b/stand/wrkr/wrkr.go
@@ -178,7 +178,6 @@
 		httpd.Refuse(ctx, fasthttp.StatusGone, "the lease has passed")
 		return
 	}
-	s.program()
 	r := w.records.add(s, now)
 	t := newTask(s, now, r)
 	w.tasks[s.ID] = t
--- a/stand/wrkr/wrkr_test.go
+++ b/stand/wrkr/wrkr_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"runtime"
 	"testing"
 	"time"
@@ -45,7 +46,12 @@
 // task lasts 60 s of running time under a lease of 20 s.
 func (r rig) task(id string) agent.Task {
 	return agent.NewTask(id, 1, "job", "ana", size, r.clk.Wall().Add(20*time.Second)).
-		WithRun(60_000, amount.New(800, 256, 0, 0), agent.ExitOK)
+		WithPayload(program(60_000, amount.New(800, 256, 0, 0), wrkr.ExitOK))
+}
+
+// program is a payload that the stand-in carries out.
+func program(runMS int64, use amount.Vec, exit string) []byte {
+	return fmt.Appendf(nil, `{"run_ms":%d,"use":{"cpu_milli":%d,"memory_mib":%d},"exit":%q}`, runMS, use.CPUMilli(), use.MemoryMiB(), exit)
 }
 
 func (r rig) start(t *testing.T, task agent.Task) {
@@ -135,9 +141,9 @@
 func TestEnd(t *testing.T) {
 	r := newRig(t)
 	use := amount.New(800, 256, 0, 0)
-	r.start(t, r.task("ok").WithRun(5000, use, agent.ExitOK))
-	r.start(t, r.task("bad").WithRun(5000, use, agent.ExitFail))
-	r.start(t, r.task("resumed").WithRun(9000, use, agent.ExitOK).WithCheckpoint(4000))
+	r.start(t, r.task("ok").WithPayload(program(5000, use, wrkr.ExitOK)))
+	r.start(t, r.task("bad").WithPayload(program(5000, use, wrkr.ExitFail)))
+	r.start(t, r.task("resumed").WithPayload(program(9000, use, wrkr.ExitOK)).WithCheckpoint(4000))
 	r.start(t, r.task("stopped"))
 	if err := r.cli.Stop(context.Background(), r.addr, "stopped"); err != nil {
 		t.Fatal(err)
@@ -165,7 +171,7 @@
 func TestThrottleAndCheckpoint(t *testing.T) {
 	r := newRig(t)
 	ctx := context.Background()
-	r.start(t, r.task("a").WithRun(10_000, amount.New(800, 256, 0, 0), agent.ExitOK))
+	r.start(t, r.task("a").WithPayload(program(10_000, amount.New(800, 256, 0, 0), wrkr.ExitOK)))
 	r.clk.Advance(2 * time.Second)
 	if err := r.cli.Throttle(ctx, r.addr, "a"); err != nil {
 		t.Fatal(err)
