--- a/demo/report.go
+++ b/demo/report.go
@@ -55,6 +55,10 @@
 			fmt.Printf("%s: %s\n", k.id, v)
 		}
 	}
+	for _, name := range w.stuck {
+		fmt.Printf("entry VM %s stopped answering; its stacks are in its log\n", name)
+		total++
+	}
 	if f != nil {
 		for _, e := range f.errs {
 			fmt.Println("fault not injected as planned:", e)
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -45,6 +47,8 @@
 	// more may reach it.
 	leftRuns int
 	left     bool
+	// stuck are VMs that stopped answering without having ended.
+	stuck []string
 }
 
 func newWatch(c *cluster) *watch {
@@ -66,6 +70,9 @@
 	for _, e := range w.c.live() {
 		_, body, err := call(fasthttp.MethodGet, "http://"+e.http+"/v1/status", nil, "")
 		var s vmStatus
+		if errors.Is(err, fasthttp.ErrTimeout) {
+			w.hung(e)
+		}
 		if err != nil || json.Unmarshal(body, &s) != nil {
 			continue
 		}
@@ -92,6 +99,15 @@
 	}
 }
 
+// hung notes a VM that takes connections and does not answer, and has it write its
+// stacks into its log, which ends it.
+func (w *watch) hung(e *entryVM) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stuck = append(w.stuck, e.name)
+	_ = e.cmd.Process.Signal(syscall.SIGQUIT)
+}
+
 func (w *watch) owns(vm string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
