--- /dev/null
+++ b/entry/route/alive_unix.go
@@ -0,0 +1,33 @@
+//go:build unix
+
+package route
+
+import (
+	"net"
+	"syscall"
+	"time"
+)
+
+// alive reports whether an idle connection is open and has nothing to read. A
+// request sent on one that the instance closed would end as "outcome unknown".
+func alive(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	if conn.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	var b [1]byte
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- a/entry/route/httpback.go
+++ b/entry/route/httpback.go
@@ -1,12 +1,8 @@
 package route
 
 import (
-	"bufio"
 	"context"
-	"errors"
-	"io"
 	"net"
-	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -104,9 +100,7 @@
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		NoDefaultUserAgentHeader:  true,
-		DisablePathNormalizing:    true,
 		Dial:                      func(addr string) (net.Conn, error) { return dialer.Dial("tcp", addr) },
-		Transport:                 &transport{maxResponse: b.cfg.MaxResponse},
 	}
 }
 
@@ -145,8 +139,8 @@
 	hreq.Header.Set(HeaderID, req.id)
 	hreq.Header.Set(HeaderDeadline, strconv.FormatInt(req.deadline.UnixMilli(), 10))
 	hreq.SetBodyRaw(req.body)
-	hreq.SetTimeout(left)
-	if err := b.client(addr).Do(hreq, hresp); err != nil {
+	x := exchange{client: b.client(addr), maxResponse: b.cfg.MaxResponse, deadline: time.Now().Add(left), recheck: req.recheck}
+	if err := x.do(hreq, hresp); err != nil {
 		return Response{}, rcode.Wrap(err, rcode.Of(err), "route.HTTPBackend.Do")
 	}
 	if hresp.StatusCode() == fasthttp.StatusServiceUnavailable && string(hresp.Header.Peek(HeaderOutcome)) == OutcomeNotRun {
@@ -155,95 +149,3 @@
 	body := append([]byte(nil), hresp.Body()...)
 	return NewResponse(req.id, hresp.StatusCode(), string(hresp.Header.ContentType()), body), nil
 }
-
-// transport replaces fasthttp's, which does not tell whether the request was
-// sent, takes a response without a length for whole when the connection ends,
-// and would reuse a connection after an answer to another request.
-type transport struct{ maxResponse int }
-
-// RoundTrip implements fasthttp.RoundTripper. Its errors carry rcode codes.
-func (t *transport) RoundTrip(hc *fasthttp.HostClient, req *fasthttp.Request, resp *fasthttp.Response) (bool, error) {
-	deadline := time.Now().Add(req.GetTimeOut())
-	cc, err := hc.AcquireConn(req.GetTimeOut(), false)
-	if err != nil {
-		return false, rcode.Wrap(errors.Join(ErrNotSent, err), rcode.BackendRefused, "dial")
-	}
-	err = t.exchange(hc, cc.Conn(), deadline, req, resp)
-	if err != nil || resp.ConnectionClose() {
-		hc.CloseConn(cc)
-	} else {
-		hc.ReleaseConn(cc)
-	}
-	return false, err
-}
-
-func (t *transport) exchange(hc *fasthttp.HostClient, conn net.Conn, deadline time.Time, req *fasthttp.Request, resp *fasthttp.Response) error {
-	if err := conn.SetDeadline(deadline); err != nil {
-		return rcode.Wrap(errors.Join(ErrNotSent, err), rcode.BackendRefused, "set deadline")
-	}
-	bw := hc.AcquireWriter(conn)
-	err := req.Write(bw)
-	if err == nil {
-		err = bw.Flush()
-	}
-	hc.ReleaseWriter(bw)
-	if err != nil {
-		return lost(err, rcode.OutcomeUnknown, "send")
-	}
-	br := hc.AcquireReader(conn)
-	defer hc.ReleaseReader(br)
-	if _, err := br.Peek(1); err != nil {
-		return lost(err, rcode.OutcomeUnknown, "no answer")
-	}
-	resp.SkipBody = req.Header.IsHead()
-	if err := t.read(br, resp); err != nil {
-		return err
-	}
-	if got := resp.Header.Peek(HeaderID); string(got) != string(req.Header.Peek(HeaderID)) {
-		return rcode.Wrap(ErrGaveUp, rcode.AnswerMismatched, "answer for id %q", got)
-	}
-	if br.Buffered() > 0 {
-		resp.SetConnectionClose()
-	}
-	return nil
-}
-
-// read reads one response whose end is certain: by length or by chunks.
-func (t *transport) read(br *bufio.Reader, resp *fasthttp.Response) error {
-	if err := resp.Header.Read(br); err != nil {
-		return lost(err, rcode.AnswerIncomplete, "header")
-	}
-	n := resp.Header.ContentLength()
-	none := resp.SkipBody || resp.StatusCode() == fasthttp.StatusNoContent || resp.StatusCode() == fasthttp.StatusNotModified
-	if resp.StatusCode() < 200 {
-		return rcode.Wrap(ErrGaveUp, rcode.AnswerIncomplete, "interim status %d", resp.StatusCode())
-	}
-	if none {
-		return nil
-	}
-	if n < -1 {
-		return rcode.New(rcode.AnswerIncomplete, "answer has no length")
-	}
-	err := resp.ReadBody(br, t.maxResponse)
-	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
-		return rcode.Wrap(err, rcode.AnswerTooLarge, "answer is larger than %d bytes", t.maxResponse)
-	}
-	if err == nil && n == -1 {
-		err = resp.Header.ReadTrailer(br)
-	}
-	return lost(err, rcode.AnswerIncomplete, "body")
-}
-
-// lost classifies a fault after the request was sent, at least in part.
-func lost(err error, code rcode.Code, what string) error {
-	switch {
-	case err == nil:
-		return nil
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return rcode.Wrap(errors.Join(ErrGaveUp, err), rcode.OutcomeUnknown, "%s: timeout", what)
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
-		return rcode.Wrap(err, code, "%s: connection closed", what)
-	default:
-		return rcode.Wrap(err, code, "%s", what)
-	}
-}
--- a/entry/route/ids.go
+++ b/entry/route/ids.go
@@ -5,7 +5,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"encoding/json"
 	"time"
 
 	"limpethitch.example/core/clock"
@@ -21,6 +20,7 @@
 	key     idKey
 	hash    [sha256.Size]byte
 	expires clock.Mono
+	index   int
 	ended   bool
 	resp    Response
 	err     error
@@ -43,14 +43,23 @@
 
 func (h idHeap) Len() int           { return len(h) }
 func (h idHeap) Less(i, j int) bool { return h[i].expires < h[j].expires }
-func (h idHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-func (h *idHeap) Push(x any)        { *h = append(*h, x.(*idEntry)) }
+func (h idHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *idHeap) Push(x any) {
+	e := x.(*idEntry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
 
 func (h *idHeap) Pop() any {
 	old := *h
 	e := old[len(old)-1]
 	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
+	e.index = -1
 	return e
 }
 
@@ -84,11 +93,19 @@
 func (t *idTable) expire(now clock.Mono) {
 	for len(t.expiry) > 0 && t.expiry[0].expires <= now {
 		e := heap.Pop(&t.expiry).(*idEntry)
-		if t.entries[e.key] == e {
-			delete(t.entries, e.key)
-		}
+		delete(t.entries, e.key)
 		t.dropBody(e)
 	}
+	t.trim()
+}
+
+// trim forgets the oldest bodies until the rest fits, and those that ended.
+func (t *idTable) trim() {
+	for len(t.bodies) > 0 && (t.bytes > t.cfg.MaxIDBytes || t.bodies[0].resp.body == nil) {
+		t.dropBody(t.bodies[0])
+		t.bodies[0] = nil
+		t.bodies = t.bodies[1:]
+	}
 }
 
 func (t *idTable) dropBody(e *idEntry) {
@@ -106,7 +123,11 @@
 	if e.done != nil {
 		close(e.done)
 	}
+	if e.index < 0 {
+		return
+	}
 	if rcode.Of(err).NotRun() {
+		heap.Remove(&t.expiry, e.index)
 		delete(t.entries, e.key)
 		return
 	}
@@ -119,11 +140,7 @@
 	}
 	t.bytes += len(e.resp.body)
 	t.bodies = append(t.bodies, e)
-	for t.bytes > t.cfg.MaxIDBytes && len(t.bodies) > 0 {
-		t.dropBody(t.bodies[0])
-		t.bodies[0] = nil
-		t.bodies = t.bodies[1:]
-	}
+	t.trim()
 }
 
 // once runs a request that is not repeatable under its caller's id: the first
@@ -220,113 +237,3 @@
 	}
 	return time.UnixMilli(ms), true
 }
-
-// handover is the form in which ids pass to the next owner.
-type handover struct {
-	IDs []handoverID `json:"ids"`
-}
-
-type handoverID struct {
-	Team        string     `json:"team"`
-	ID          string     `json:"id"`
-	Hash        []byte     `json:"hash"`
-	ExpiresMS   int64      `json:"expires_ms"`
-	Code        rcode.Code `json:"code"`
-	Message     string     `json:"message,omitempty"`
-	Status      int        `json:"status,omitempty"`
-	ContentType string     `json:"content_type,omitempty"`
-	Body        []byte     `json:"body,omitempty"`
-}
-
-// handoverPart bounds one part of an export, before base64.
-const handoverPart = 512 << 10
-
-// Export returns the ids for the next owner, in parts that each fit a message
-// between entry VMs. Ids that are still running are exported as "outcome
-// unknown".
-func (r *Router) Export() ([][]byte, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now, wall := r.clk.Now(), r.clk.Wall()
-	r.ids.expire(now)
-	var parts [][]byte
-	var h handover
-	n := 0
-	flush := func() error {
-		part, err := json.Marshal(h)
-		parts = append(parts, part)
-		h.IDs, n = nil, 0
-		return err
-	}
-	for _, e := range r.ids.entries {
-		x := e.export(wall.Add(e.expires.Sub(now)))
-		h.IDs = append(h.IDs, x)
-		n += 256 + len(x.Body)
-		if n < handoverPart {
-			continue
-		}
-		if err := flush(); err != nil {
-			return nil, rcode.Wrap(err, rcode.Internal, "route.Export")
-		}
-	}
-	return parts, rcode.Wrap(flush(), rcode.Internal, "route.Export")
-}
-
-func (e *idEntry) export(expires time.Time) handoverID {
-	x := handoverID{
-		Team: e.key.team, ID: e.key.id, Hash: e.hash[:], ExpiresMS: expires.UnixMilli(),
-		Code: rcode.OutcomeUnknown, Message: "the work was running at the handover",
-	}
-	switch {
-	case !e.ended:
-	case e.err != nil:
-		x.Code, x.Message = rcode.Of(e.err), e.err.Error()
-	case len(e.resp.body) > handoverPart:
-		x.Message = "the work ran; its response is no longer kept"
-	default:
-		x.Code, x.Message = rcode.OK, ""
-		x.Status, x.ContentType, x.Body = e.resp.status, e.resp.contentType, e.resp.body
-	}
-	return x
-}
-
-// Import adds one part of the former owner's export. Ids known here stay as
-// they are.
-func (r *Router) Import(part []byte) error {
-	var h handover
-	if err := json.Unmarshal(part, &h); err != nil {
-		return rcode.Wrap(err, rcode.BadRequest, "route.Import")
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now, wall := r.clk.Now(), r.clk.Wall()
-	for _, x := range h.IDs {
-		left := time.UnixMilli(x.ExpiresMS).Sub(wall)
-		if len(x.Hash) != sha256.Size || x.ID == "" || left > MaxLife+IDGrace+CallerClockError {
-			return rcode.New(rcode.BadRequest, "route.Import: id %q is malformed", x.ID)
-		}
-		e := x.entry(now.Add(left))
-		if _, known := r.ids.entries[e.key]; known || left <= 0 {
-			continue
-		}
-		if err := r.ids.add(e, now); err != nil {
-			return rcode.Wrap(err, rcode.Of(err), "route.Import")
-		}
-		r.ids.keepBody(e)
-	}
-	return nil
-}
-
-func (x *handoverID) entry(expires clock.Mono) *idEntry {
-	e := &idEntry{key: idKey{team: x.Team, id: x.ID}, expires: expires, ended: true}
-	copy(e.hash[:], x.Hash)
-	switch {
-	case x.Code == rcode.OK:
-		e.resp = NewResponse(x.ID, x.Status, x.ContentType, x.Body)
-	case x.Code.NotRun():
-		e.err = rcode.New(rcode.OutcomeUnknown, "%s", x.Message)
-	default:
-		e.err = rcode.New(x.Code, "%s", x.Message)
-	}
-	return e
-}
--- a/entry/route/instance.go
+++ b/entry/route/instance.go
@@ -19,6 +19,12 @@
 	// slowFactor is how much slower than its service an instance may be before
 	// its limit is lowered.
 	slowFactor = 2
+	// failFactor lowers the limit when faults follow each other.
+	failFactor = 0.7
+	// cautiousStep is how much an answer raises the limit near its ceiling.
+	cautiousStep = 0.01
+	// ceilingLife is how long after the last refusal a ceiling counts.
+	ceilingLife = 10 * time.Second
 	// ejectAfter is the number of consecutive failures that ejects.
 	ejectAfter = 3
 	// ejectBase and ejectMax bound the time of an ejection, which doubles.
@@ -45,17 +51,24 @@
 	index int
 	score float64
 	held  int
-	// counted is what the service counts of this instance in its capacity.
-	counted int
+	// counted is what the service's totals hold of this instance.
+	counted totals
 	leaving bool
 	removed bool
 
 	// limit follows what the instance bears, between 1 and its slots.
-	limit     float64
+	limit float64
+	// ceiling is where the instance last refused. Near it the limit grows
+	// slowly, since each attempt may cost a request.
+	ceiling   float64
+	refusedAt clock.Mono
+	// answered is when the instance last completed a response.
+	answered  clock.Mono
 	latency   float64
 	failRate  float64
 	health    health
 	failures  int
+	refusals  int
 	successes int
 	ejections int
 	// lowered is when the limit was last lowered, so that the answers of one
@@ -86,6 +99,25 @@
 	return min(int(i.limit), slots(i.vm))
 }
 
+// totals is what an instance adds to the sums of its service.
+type totals struct{ capacity, free, live, out int }
+
+func (i *instance) totals() totals {
+	t := totals{capacity: i.allowed(), free: i.free()}
+	if !i.leaving && !i.removed && slots(i.vm) > 0 {
+		t.live = 1
+	}
+	if i.health == ejected && !i.removed {
+		t.out = 1
+	}
+	return t
+}
+
+// plus adds n times o.
+func (t totals) plus(o totals, n int) totals {
+	return totals{t.capacity + n*o.capacity, t.free + n*o.free, t.live + n*o.live, t.out + n*o.out}
+}
+
 func (i *instance) free() int { return max(0, i.allowed()-i.held) }
 
 // rescore computes the load that one more request would mean: its share of
@@ -125,29 +157,62 @@
 	s.deviation += (math.Abs(took-s.latency) - s.deviation) * w
 	s.latency += (took - s.latency) * w
 	i.failRate *= 1 - latencyWeight
-	i.failures = 0
+	i.failures, i.refusals = 0, 0
+	i.answered = now
 	i.successes++
 	if i.successes >= restoreAfter {
 		i.ejections = 0
 	}
 	if i.health == probing {
-		i.health = healthy
 		i.limit = 1
+		s.setHealth(i, healthy)
 	}
-	if i.latency > slowFactor*s.latency && float64(i.held) >= i.limit-1 {
+	if float64(i.held) < i.limit-1 {
+		return
+	}
+	if i.latency > slowFactor*s.latency {
 		i.lower(0.9, now)
 		return
 	}
-	if float64(i.held) >= i.limit-1 {
-		i.limit = min(float64(slots(i.vm)), i.limit+1/i.limit)
+	step := 1 / i.limit
+	if now.Sub(i.refusedAt) > ceilingLife {
+		i.ceiling = 0
+	}
+	if i.limit+1 > i.ceiling && i.ceiling > 0 {
+		step = cautiousStep
 	}
+	i.limit = min(float64(slots(i.vm)), i.limit+step)
 }
 
-func (i *instance) failed(factor float64, now clock.Mono) {
+// refused lowers the limit after a refusal at the limit, and to what the
+// instance holds when it refuses in a row. A lone refusal below the limit has
+// another cause than load. An instance that refuses while it has nothing else
+// to do has failed.
+func (i *instance) refused(now clock.Mono) {
+	i.refusals++
+	i.failRate += (1 - i.failRate) * latencyWeight
+	switch held := float64(i.held); {
+	case i.held <= 1:
+		i.failed(now)
+	case i.refusals > 1:
+		i.ceiling = held
+		i.limit = max(1, min(i.limit, held-1))
+	case held > i.limit-1:
+		i.ceiling = held
+		i.limit = max(1, i.limit-1)
+	}
+	i.refusedAt = now
+}
+
+// failed counts a fault. A single one says nothing about load; more in a row
+// lower the limit, then eject.
+func (i *instance) failed(now clock.Mono) {
 	i.failRate += (1 - i.failRate) * latencyWeight
 	i.failures++
 	i.successes = 0
-	i.lower(factor, now)
+	if i.failures > 1 {
+		i.lower(failFactor, now)
+	}
 	if i.health == probing || i.failures >= ejectAfter {
 		i.svc.eject(i, now)
 	}
--- a/entry/route/queue.go
+++ b/entry/route/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"maps"
 
 	"limpethitch.example/core/clock"
 	"limpethitch.example/core/policy"
@@ -47,6 +48,8 @@
 	weights float64
 	vtime   float64
 	len     int
+	// stalled is the part of len that waits in blocked flows.
+	stalled int
 	// busySince is when the level last went from empty to waiting.
 	busySince clock.Mono
 	// cappedUntil is the end of the current overload.
@@ -81,9 +84,17 @@
 	return &level{class: c, flows: map[string]*flow{}}
 }
 
+// maxFlows bounds the flows kept after their teams have left the bundle.
+const maxFlows = 4096
+
+// flow returns the team's flow. It is kept while empty, so that a team cannot
+// regain its turn by letting its queue run empty.
 func (l *level) flow(team string) *flow {
 	f, ok := l.flows[team]
 	if !ok {
+		if len(l.flows) >= maxFlows {
+			maps.DeleteFunc(l.flows, func(_ string, f *flow) bool { return f.tree.len() == 0 && !f.blocked })
+		}
 		f = &flow{team: team, level: l, index: -1, tree: tree{rng: 0x9e3779b97f4a7c15}}
 		l.flows[team] = f
 	}
@@ -95,7 +106,10 @@
 // the turns of the other teams.
 func (l *level) ahead(f *flow, weight float64, until clock.Mono) int {
 	rank := f.tree.rank(until)
-	others := l.len - f.tree.len()
+	others := l.len - l.stalled
+	if !f.blocked {
+		others -= f.tree.len()
+	}
 	weights := l.weights
 	if f.tree.len() > 0 {
 		weights -= f.weight
@@ -110,6 +124,9 @@
 	}
 	w.flow = f
 	l.len++
+	if f.blocked {
+		l.stalled++
+	}
 	f.tree.insert(w)
 	if f.tree.len() > 1 {
 		return
@@ -128,6 +145,9 @@
 	f.tree.remove(w)
 	w.flow = nil
 	l.len--
+	if f.blocked {
+		l.stalled--
+	}
 	if f.tree.len() > 0 {
 		return
 	}
@@ -138,11 +158,6 @@
 	if l.len == 0 {
 		l.weights = 0
 	}
-	// An empty flow is kept only while its pass is ahead, so that a team
-	// cannot regain its turn by letting its queue run empty.
-	if f.pass <= l.vtime && !f.blocked {
-		delete(l.flows, f.team)
-	}
 }
 
 // charge moves the flow behind by one turn.
@@ -157,6 +172,7 @@
 // block takes a flow whose team is at its limit out of the order of service.
 func (l *level) block(f *flow) {
 	f.blocked = true
+	l.stalled += f.tree.len()
 	if f.index >= 0 {
 		heap.Remove(&l.active, f.index)
 	}
@@ -164,6 +180,7 @@
 
 func (l *level) unblock(f *flow) {
 	f.blocked = false
+	l.stalled -= f.tree.len()
 	if f.tree.len() > 0 && f.index < 0 {
 		f.pass = max(f.pass, l.vtime)
 		heap.Push(&l.active, f)
--- a/entry/route/request.go
+++ b/entry/route/request.go
@@ -23,6 +23,8 @@
 	path        string
 	contentType string
 	body        []byte
+	// recheck asks the gate again after a dial; HTTPBackend calls it.
+	recheck func() error
 }
 
 // Option sets an optional part of a Request.
@@ -104,6 +106,8 @@
 		return rcode.New(rcode.BadRequest, "id must be 1 to %d visible characters", maxIDLength)
 	case r.method == "" || strings.Trim(r.method, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") != "":
 		return rcode.New(rcode.BadRequest, "method %q is not a word of capitals", r.method)
+	case len(r.body) > 0 && (r.method == "GET" || r.method == "HEAD"):
+		return rcode.New(rcode.BadRequest, "method %s takes no body", r.method)
 	case !strings.HasPrefix(r.path, "/") || !visible(r.path, false) || strings.ContainsRune(r.path, '#'):
 		return rcode.New(rcode.BadRequest, "path %q is not an absolute path", r.path)
 	case !visible(r.contentType, true):
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -25,8 +25,10 @@
 //     connection;
 //   - after a penalty when this side gave up: the deadline passed, or the
 //     answer was for another request. The instance may still be working. It is
-//     presumed done after twice the moving service time, at least
-//     Config.PenaltyMin and at most MaxLife, counted from giving up.
+//     presumed done Config.PenaltyMin after giving up and not before twice the
+//     usual service time (mean and four deviations) since the send. If it has
+//     completed nothing since, the penalty is doubled up to four times. No
+//     penalty exceeds MaxLife.
 //
 // # Order of service
 //
@@ -49,6 +51,9 @@
 // an unplanned takeover, ids are unknown for that long.
 const MaxLife = 60 * time.Second
 
+// clockError bounds the difference between two VMs' wall clocks.
+const clockError = 500 * time.Millisecond
+
 // IDGrace is how long a finished id is kept after its request's deadline, so
 // that a caller that repeats it late still gets the first response.
 const IDGrace = 60 * time.Second
@@ -63,6 +68,8 @@
 	// ErrGaveUp states that this side stopped waiting while the instance may
 	// still be working.
 	ErrGaveUp = errors.New("gave up waiting")
+	// errNotAllowed marks the gate's own error when HTTPBackend asked it.
+	errNotAllowed = errors.New("not allowed")
 )
 
 // Gate decides whether work may start now. The router calls Reserve and Free
@@ -102,6 +109,8 @@
 
 // Config holds the bounds of a Router.
 type Config struct {
+	// Source names this VM's incarnation in an export.
+	Source string
 	// MaxIDs bounds the ids remembered; further ones are refused as not run.
 	MaxIDs int
 	// MaxIDBytes bounds the response bodies kept for repeated ids.
@@ -122,7 +131,7 @@
 		c.MaxIDBytes = 32 << 20
 	}
 	if c.PenaltyMin == 0 {
-		c.PenaltyMin = 500 * time.Millisecond
+		c.PenaltyMin = 200 * time.Millisecond
 	}
 	if c.MaxAttempts == 0 {
 		c.MaxAttempts = 3
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,9 +32,12 @@
 	ids      *idTable
 	budget   budget
 	events   events
-	armed    clock.Mono
+	// armed holds the times that a goroutine waits for, the earliest last.
+	armed    []clock.Mono
 	seq      uint64
-	running  int
+	leases   map[*lease]struct{}
+	foreign  map[string]foreign
+	retries  int64
 	calls    int
 	draining bool
 	idle     chan struct{}
@@ -53,6 +57,7 @@
 	r := &Router{
 		cfg: cfg, clk: deps.Clock, log: deps.Log, gate: deps.Gate, backend: deps.Backend, weigh: deps.Weight,
 		services: map[string]*service{}, blocked: map[string][]blockedFlow{},
+		leases: map[*lease]struct{}{}, foreign: map[string]foreign{},
 	}
 	if r.log == nil {
 		r.log = zap.NewNop()
@@ -90,10 +95,9 @@
 // and returns starts clean.
 func (r *Router) SetInstances(vms []fleet.VM) {
 	byService := map[string][]fleet.VM{}
+	vms = slices.DeleteFunc(slices.Clone(vms), func(vm fleet.VM) bool { return vm.Role() != fleet.RoleBackend })
 	for _, vm := range vms {
-		if vm.Role() == fleet.RoleBackend {
-			byService[vm.Service()] = append(byService[vm.Service()], vm)
-		}
+		byService[vm.Service()] = append(byService[vm.Service()], vm)
 	}
 	if k, ok := r.backend.(instanceKeeper); ok {
 		k.SetInstances(vms)
@@ -119,11 +123,11 @@
 	}
 	now := r.clk.Now()
 	left := req.deadline.Sub(r.clk.Wall())
-	req.until = now.Add(left)
+	req.until = now.Add(min(left, MaxLife))
 	switch {
 	case left <= 0:
 		return Response{}, rcode.New(rcode.DeadlinePassed, "route.Do: deadline passed %v ago", -left)
-	case left > MaxLife:
+	case left > MaxLife+clockError:
 		return Response{}, rcode.New(rcode.DeadlineTooFar, "route.Do: deadline in %v, at most %v", left, MaxLife)
 	}
 	if !r.enter() {
@@ -158,7 +162,7 @@
 }
 
 func (r *Router) checkIdle() {
-	if r.idle != nil && r.calls == 0 && r.running == 0 {
+	if r.idle != nil && r.calls == 0 {
 		close(r.idle)
 		r.idle = nil
 	}
@@ -179,6 +183,7 @@
 			r.release(l)
 			return Response{}, first(ran, err)
 		}
+		req.recheck = func() error { return r.gate.Allowed(*req) }
 		resp, err := r.backend.Do(context.WithoutCancel(ctx), l.inst.vm.Addr(), *req)
 		if err == nil && resp.id != req.id {
 			err = rcode.Wrap(ErrGaveUp, rcode.AnswerMismatched, "answer for %q", resp.id)
@@ -208,7 +213,10 @@
 // that it may use for it.
 func certain(err error) error {
 	c := rcode.Of(err)
-	if c == rcode.BackendRefused || (!c.NotRun() && c != rcode.Internal) {
+	switch {
+	case c == rcode.BackendRefused, c.NotRun() && errors.Is(err, ErrNotSent):
+		return err
+	case !c.NotRun() && c != rcode.Internal:
 		return err
 	}
 	return rcode.Wrap(err, rcode.OutcomeUnknown, "backend")
@@ -272,20 +280,28 @@
 	case err == nil:
 		i.succeeded(took, now)
 		if resp.status >= 500 {
+			// Work that fails makes an instance a worse choice, but never
+			// ejects it: one team's faulty requests would do so for all.
 			i.failRate += (1 - i.failRate) * latencyWeight
 		}
+	case errors.Is(err, errNotAllowed):
+		s.release(l, now)
+		return false
 	case errors.Is(err, ErrGaveUp):
 		// A deadline shorter than the usual service time says nothing about
 		// the instance.
 		if took > slowFactor*s.latency {
-			i.failed(0.5, now)
+			i.failed(now)
+			i.lower(failFactor, now)
 		}
 		s.touch(i)
-		penalty := min(MaxLife, max(r.cfg.PenaltyMin, 2*seconds(s.latency)))
-		r.at(now.Add(penalty), func(now clock.Mono) { s.release(l, now) })
+		s.penalise(l, s.penalty(l, now), 0, now)
 		return r.mayRetry(s, req, attempt, err, now)
+	case rcode.Is(err, rcode.AnswerTooLarge):
+	case rcode.Is(err, rcode.BackendRefused) && !errors.Is(err, ErrNotSent):
+		i.refused(now)
 	default:
-		i.failed(0.7, now)
+		i.failed(now)
 	}
 	s.release(l, now)
 	return err != nil && r.mayRetry(s, req, attempt, err, now)
@@ -295,10 +311,14 @@
 	if !req.repeatable && !errors.Is(err, ErrNotSent) {
 		return false
 	}
-	if attempt >= r.cfg.MaxAttempts || rcode.Is(err, rcode.AnswerTooLarge) || s.live() < 2 {
+	if attempt >= r.cfg.MaxAttempts || rcode.Is(err, rcode.AnswerTooLarge) || s.sum.live < 2 {
 		return false
 	}
-	return now.Add(seconds(s.latency)) < req.until && r.budget.take(now)
+	if now.Add(seconds(s.latency)) >= req.until || !r.budget.take(now) {
+		return false
+	}
+	r.retries++
+	return true
 }
 
 func (r *Router) unblock(team string, now clock.Mono) {
@@ -356,24 +376,23 @@
 		return
 	}
 	next := r.events[0].at
-	if r.armed != 0 && r.armed <= next {
+	if n := len(r.armed); n > 0 && r.armed[n-1] <= next {
 		return
 	}
-	r.armed = next
+	r.armed = append(r.armed, next)
 	timer := r.clk.After(next.Sub(r.clk.Now()))
 	go func() {
 		<-timer
 		r.mu.Lock()
 		defer r.unlock()
-		if r.armed == next {
-			r.armed = 0
-		}
+		r.armed = slices.DeleteFunc(r.armed, func(t clock.Mono) bool { return t == next })
 		r.fire(r.clk.Now())
 	}()
 }
 
-// Drain refuses new requests and ends when nothing waits or runs here, or
-// with ctx.
+// Drain refuses new requests and ends when every caller has its outcome, or
+// with ctx. Waiting requests are still served while the gate allows. Slots in
+// their penalty are not waited for; ExportRunning passes them on.
 func (r *Router) Drain(ctx context.Context) error {
 	r.mu.Lock()
 	r.draining = true
@@ -396,6 +415,8 @@
 	queued  map[policy.Class]int
 	running int
 	free    int
+	ejected int
+	retries int64
 }
 
 // Queued returns the number of waiting requests of a class.
@@ -407,13 +428,20 @@
 // Free returns the number of free slots of all services.
 func (s Stats) Free() int { return s.free }
 
+// Ejected returns the number of instances out of the choice after failures.
+func (s Stats) Ejected() int { return s.ejected }
+
+// Retries returns the number of retries so far.
+func (s Stats) Retries() int64 { return s.retries }
+
 // Stats returns the router's queue lengths and slots.
 func (r *Router) Stats() Stats {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	st := Stats{queued: map[policy.Class]int{}, running: r.running}
+	st := Stats{queued: map[policy.Class]int{}, running: len(r.leases), retries: r.retries}
 	for _, s := range r.services {
-		st.free += s.free()
+		st.free += s.sum.free
+		st.ejected += s.sum.out
 		for _, l := range s.levels {
 			st.queued[l.class] += l.len
 		}
@@ -426,15 +454,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s, ok := r.services[name]; ok {
-		return s.free()
+		return s.sum.free
 	}
 	return 0
 }
-
-func (s *service) free() int {
-	n := 0
-	for _, i := range s.byID {
-		n += i.free()
-	}
-	return n
-}
--- a/entry/route/service.go
+++ b/entry/route/service.go
@@ -18,17 +18,26 @@
 	// reservePoll is how often a team at its limit is tried again. Allotments
 	// also grow without a request ending here.
 	reservePoll = 20 * time.Millisecond
+	// maxExtensions bounds how often a penalty is doubled.
+	maxExtensions = 4
+	// latencyDecay lowers the estimate with each request refused by it while
+	// slots are free. Nothing else would correct an estimate that is too high
+	// once no request starts.
+	latencyDecay = 0.99
 	// maxRetries bounds the requests that wait for a slot for a retry.
 	maxRetries = 64
-	// burst is how long interactive requests may queue without a pause before
-	// their wait is capped: shorter queues are bursts that drain.
-	burst = 500 * time.Millisecond
+	// burstFactor is for how many moving service times interactive requests
+	// may queue without a pause before their wait is capped, and burstMin its
+	// least value: shorter queues are bursts that drain.
+	burstFactor = 10
+	burstMin    = 100 * time.Millisecond
 	// overload is how long the cap stays after the last refusal it caused.
 	// Without it the queue grows back to its full length every burst.
 	overload = time.Second
 	// waitFactor is the capped wait of interactive requests in moving service
-	// times. A queue of this length keeps every slot busy.
-	waitFactor = 0.75
+	// times. At 0.25 a small team loses 3% of its requests beside an overload;
+	// at 0.75 constant service times wait more than twice as long as at 70%.
+	waitFactor = 0.5
 )
 
 // lease is one slot of an instance and one reservation of a team.
@@ -36,15 +45,21 @@
 	inst *instance
 	team string
 	at   clock.Mono
+	// until is the request's deadline, then the end of the penalty.
+	until clock.Mono
+	// reserved is false for a former owner's slot beyond the team's limit.
+	reserved bool
+	ended    bool
 }
 
 // service is the instances of one service and the requests that wait for them.
 type service struct {
-	name     string
-	router   *Router
-	byID     map[string]*instance
-	heap     instanceHeap
-	capacity int
+	name   string
+	router *Router
+	byID   map[string]*instance
+	heap   instanceHeap
+	sum    totals
+	probes []*instance
 	// samples counts service times, so that the first ones weigh more.
 	samples int
 	// latency and deviation are moving figures of the service time in seconds.
@@ -73,9 +88,9 @@
 
 // touch updates what depends on an instance's state.
 func (s *service) touch(i *instance) {
-	n := i.allowed()
-	s.capacity += n - i.counted
-	i.counted = n
+	t := i.totals()
+	s.sum = s.sum.plus(i.counted, -1).plus(t, 1)
+	i.counted = t
 	i.rescore()
 	if i.index >= 0 {
 		heap.Fix(&s.heap, i.index)
@@ -115,20 +130,23 @@
 // reservation; one that returns under the same id is a new instance.
 func (s *service) drop(i *instance) {
 	i.removed = true
-	s.touch(i)
+	s.setHealth(i, ejected)
 	heap.Remove(&s.heap, i.index)
 	delete(s.byID, i.vm.ID())
 }
 
-// live returns how many instances take new requests or will again.
-func (s *service) live() int {
-	n := 0
-	for _, i := range s.byID {
-		if !i.leaving && slots(i.vm) > 0 {
-			n++
+// pick returns the best instance for the request, or nil. Requests that may
+// be retried go first to an instance on probation; others go there only when
+// no other has room.
+func (s *service) pick(w *waiter) *instance {
+	if w.req.repeatable {
+		for _, i := range s.probes {
+			if i != w.avoid && i.free() > 0 {
+				return i
+			}
 		}
 	}
-	return n
+	return s.heap.pick(w.avoid)
 }
 
 // eject takes an instance that fails out of the choice for a growing time. At
@@ -137,32 +155,35 @@
 	if i.health == ejected || i.removed {
 		return
 	}
-	out := 1
-	for _, o := range s.byID {
-		if o.health == ejected {
-			out++
-		}
-	}
-	if out*2 > s.live() {
+	if (s.sum.out+1)*2 > s.sum.live {
 		return
 	}
 	d := i.ejectTime()
 	i.ejections++
-	i.health = ejected
-	s.touch(i)
+	s.setHealth(i, ejected)
 	s.router.log.Warn("instance ejected", zap.String("service", s.name),
 		zap.String("instance", i.vm.ID()), zap.Int("failures", i.failures), zap.Duration("for", d))
 	s.router.at(now.Add(d), func(now clock.Mono) {
 		if i.health != ejected {
 			return
 		}
-		i.health = probing
 		i.failures = 0
-		s.touch(i)
+		s.setHealth(i, probing)
 		s.dispatch(now)
 	})
 }
 
+func (s *service) setHealth(i *instance, h health) {
+	if i.health == probing {
+		s.probes = slices.DeleteFunc(s.probes, func(o *instance) bool { return o == i })
+	}
+	i.health = h
+	if h == probing {
+		s.probes = append(s.probes, i)
+	}
+	s.touch(i)
+}
+
 // next returns the class to serve next, or nil when no request can start.
 func (s *service) next() *level {
 	for _, l := range s.levels {
@@ -179,7 +200,11 @@
 	l := s.level(w.req.class)
 	f := l.flow(team)
 	if s.next() == nil && len(s.retries) == 0 && !f.blocked {
-		if i := s.heap.pick(nil); i != nil {
+		if i := s.pick(w); i != nil {
+			if now.Add(seconds(s.latency)) > w.req.until {
+				s.latency *= latencyDecay
+				return rcode.New(rcode.DeadlineUnmet, "service %q needs about %.3f s", s.name, s.latency)
+			}
 			if s.router.gate.Reserve(team) {
 				s.grant(w, i, now)
 				return nil
@@ -187,7 +212,7 @@
 			s.block(f, now)
 		}
 	}
-	if s.live() == 0 {
+	if s.sum.live == 0 {
 		return rcode.New(rcode.NoRoom, "service %q has no instance", s.name)
 	}
 	if f.tree.len() >= w.req.queue.MaxWaiting() {
@@ -207,7 +232,7 @@
 // feasible refuses a request that the estimate says will not make its
 // deadline, and in a lasting overload an interactive one that would wait long.
 func (s *service) feasible(w *waiter, l *level, f *flow, weight float64, now clock.Mono) error {
-	if s.capacity == 0 || s.latency == 0 {
+	if s.sum.capacity == 0 || s.latency == 0 {
 		return nil
 	}
 	ahead := l.ahead(f, weight, w.req.until)
@@ -215,15 +240,16 @@
 		if h == l {
 			break
 		}
-		ahead += h.len
+		ahead += h.len - h.stalled
 	}
-	wait := float64(ahead+1) * s.latency / float64(s.capacity)
+	wait := float64(ahead+1) * s.latency / float64(s.sum.capacity)
 	if now.Add(seconds(wait+s.latency)) > w.req.until {
 		return rcode.New(rcode.DeadlineUnmet, "service %q: about %.3f s until done", s.name, wait+s.latency)
 	}
 	if l.class != policy.ClassInteractive || l.len < 2 || wait <= waitFactor*s.latency {
 		return nil
 	}
+	burst := max(burstMin, seconds(burstFactor*s.latency))
 	if now < l.cappedUntil || now.Sub(l.busySince) > burst {
 		l.cappedUntil = now.Add(overload)
 		return rcode.New(rcode.QueueFull, "service %q is overloaded: about %.3f s of waiting", s.name, wait)
@@ -248,7 +274,7 @@
 			w.finish(nil, late(w.req, now))
 			continue
 		}
-		i := s.heap.pick(nil)
+		i := s.pick(w)
 		if i == nil {
 			return
 		}
@@ -272,7 +298,7 @@
 func (s *service) dispatchRetries(now clock.Mono) {
 	for n := 0; n < len(s.retries); {
 		w := s.retries[n]
-		i := s.heap.pick(w.avoid)
+		i := s.pick(w)
 		if i == nil || !s.router.gate.Reserve(w.req.grant.Team()) {
 			n++
 			continue
@@ -285,7 +311,7 @@
 // retry finds a slot on another instance for a request that was sent before.
 func (s *service) retry(w *waiter, now clock.Mono) error {
 	team := w.req.grant.Team()
-	if i := s.heap.pick(w.avoid); i != nil && s.router.gate.Reserve(team) {
+	if i := s.pick(w); i != nil && s.router.gate.Reserve(team) {
 		s.grant(w, i, now)
 		return nil
 	}
@@ -312,10 +338,31 @@
 
 // grant gives w a slot whose team's reservation was made.
 func (s *service) grant(w *waiter, i *instance, now clock.Mono) {
+	l := s.take(i, w.req.grant.Team(), now, w.req.until)
+	l.reserved = true
+	w.finish(l, nil)
+}
+
+func (s *service) take(i *instance, team string, now, until clock.Mono) *lease {
+	l := &lease{inst: i, team: team, at: now, until: until}
+	s.router.leases[l] = struct{}{}
 	i.held++
-	s.router.running++
 	s.touch(i)
-	w.finish(&lease{inst: i, team: w.req.grant.Team(), at: now}, nil)
+	return l
+}
+
+// putBack ends a lease, once.
+func (s *service) putBack(l *lease) {
+	if l.ended {
+		return
+	}
+	l.ended = true
+	delete(s.router.leases, l)
+	l.inst.held--
+	s.touch(l.inst)
+	if l.reserved {
+		s.router.gate.Free(l.team)
+	}
 }
 
 func (w *waiter) finish(l *lease, err error) {
@@ -333,12 +380,28 @@
 	s.router.at(now.Add(reservePoll), func(now clock.Mono) { s.router.unblock(f.team, now) })
 }
 
-// release gives back a slot and its reservation.
+// penalty returns how long a slot stays taken after the router gave up.
+func (s *service) penalty(l *lease, now clock.Mono) time.Duration {
+	usual := l.at.Add(2 * seconds(s.latency+4*s.deviation))
+	return min(MaxLife, max(s.router.cfg.PenaltyMin, usual.Sub(now)))
+}
+
+// penalise releases a lease after d, or later while the instance has completed
+// nothing since: it may be paused with all its work.
+func (s *service) penalise(l *lease, d time.Duration, extended int, gaveUp clock.Mono) {
+	l.until = s.router.clk.Now().Add(d)
+	s.router.at(l.until, func(now clock.Mono) {
+		if extended < maxExtensions && l.inst.answered < gaveUp && !l.inst.removed {
+			s.penalise(l, min(MaxLife, 2*d), extended+1, gaveUp)
+			return
+		}
+		s.release(l, now)
+	})
+}
+
+// release ends a lease and gives its slot to a waiting request.
 func (s *service) release(l *lease, now clock.Mono) {
-	l.inst.held--
-	s.router.running--
-	s.router.gate.Free(l.team)
-	s.touch(l.inst)
+	s.putBack(l)
 	s.router.unblock(l.team, now)
 	s.dispatch(now)
 }
