--- a/core/policy/check.go
+++ b/core/policy/check.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"encoding/hex"
 	"fmt"
 	"strings"
 
@@ -107,7 +106,11 @@
 func (d *Document) checkTeams(c *checker) map[string]TeamDoc {
 	seen := map[string]bool{}
 	byName := make(map[string]TeamDoc, len(d.Teams))
-	keys := keyChecker{ids: map[string]string{}, secrets: map[string]string{}}
+	count := 0
+	for _, t := range d.Teams {
+		count += len(t.Keys)
+	}
+	keys := keyChecker{ids: make(map[string]string, count), secrets: make(map[string]string, count)}
 	c.require(len(d.Teams) > 0, "teams", "there is none")
 	for i, t := range d.Teams {
 		f := fmt.Sprintf("teams[%d]", i)
@@ -115,7 +118,9 @@
 		c.require(t.Share > 0 && t.Share <= 1_000_000, f+".share", "%d is not within 1 to 1000000", t.Share)
 		t.Limit.check(c, f+".limit")
 		for j, k := range t.Keys {
-			keys.check(c, fmt.Sprintf("%s.keys[%d]", f, j), t.Name, k)
+			before := len(c.faults)
+			keys.check(c, t.Name, k)
+			prefix(c.faults[before:], "%s.keys[%d]", f, j)
 		}
 		byName[t.Name] = t
 	}
@@ -146,23 +151,40 @@
 // limits to 0, which is allowed on any queue.
 func (l LimitDoc) suspended() bool { return l == LimitDoc{} }
 
-func (kc keyChecker) check(c *checker, field, team string, k KeyDoc) {
-	c.require(validName(k.ID), field, "id %q must be 1 to 63 of a-z, 0-9 and -", k.ID)
-	other, taken := kc.ids[k.ID]
-	c.require(!taken, field, "id %q stands twice, first in team %q", k.ID, other)
+// prefix completes the fields of faults. Paths and texts of a key are built only
+// for a fault, since a bundle may hold 10,000 keys.
+func prefix(faults []Fault, format string, args ...any) {
+	for i := range faults {
+		faults[i].field = fmt.Sprintf(format, args...) + faults[i].field
+	}
+}
+
+func (kc keyChecker) check(c *checker, team string, k KeyDoc) {
+	if !validName(k.ID) {
+		c.require(false, "", "id %q must be 1 to 63 of a-z, 0-9 and -", k.ID)
+	}
+	if other, taken := kc.ids[k.ID]; taken {
+		c.require(false, "", "id %q stands twice, first in team %q", k.ID, other)
+	}
 	kc.ids[k.ID] = team
-	c.require(len(k.Hash) == 64 && isHex(k.Hash), field+".hash", "must have 64 hexadecimal digits")
-	c.require(len(k.Salt) >= 16 && isHex(k.Salt), field+".salt", "must have at least 16 hexadecimal digits in pairs")
+	c.require(len(k.Hash) == 64 && isHex(k.Hash), ".hash", "must have 64 hexadecimal digits")
+	c.require(len(k.Salt) >= 16 && isHex(k.Salt), ".salt", "must have at least 16 hexadecimal digits in pairs")
 	// Revoking one of two keys with one secret would leave the secret working.
 	secret := strings.ToLower(k.Salt + k.Hash)
-	twin, same := kc.secrets[secret]
-	c.require(!same || twin == k.ID, field, "keys %q and %q hold the same secret, so revoking one leaves it working", twin, k.ID)
+	if twin, same := kc.secrets[secret]; same && twin != k.ID {
+		c.require(false, "", "keys %q and %q hold the same secret, so revoking one leaves it working", twin, k.ID)
+	}
 	kc.secrets[secret] = k.ID
 }
 
 func isHex(s string) bool {
-	_, err := hex.DecodeString(s)
-	return err == nil
+	for i := range len(s) {
+		c := s[i]
+		if (c < '0' || c > '9') && (c < 'a' || c > 'f') && (c < 'A' || c > 'F') {
+			return false
+		}
+	}
+	return len(s)%2 == 0
 }
 
 func (d *Document) checkQueues(c *checker, teams map[string]TeamDoc) {
--- a/core/policy/scan.go
+++ b/core/policy/scan.go
@@ -5,11 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"reflect"
+	"strconv"
 	"strings"
 )
 
 // shape is the set of field names that a part of the document may have.
 type shape struct {
+	name   string
+	bit    uint64 // A field's own bit among those of its object.
 	fields map[string]*shape
 	elem   *shape
 }
@@ -22,7 +25,9 @@
 		s := &shape{fields: map[string]*shape{}}
 		for i := range t.NumField() {
 			name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-			s.fields[name] = shapeOf(t.Field(i).Type)
+			field := shapeOf(t.Field(i).Type)
+			field.name, field.bit = name, 1<<i
+			s.fields[name] = field
 		}
 		return s
 	case reflect.Slice:
@@ -38,11 +43,25 @@
 type scanner struct {
 	raw     []byte
 	pos     int
-	path    []string
+	path    []step
 	offsets map[string]int
 	faults  []Fault
 }
 
+// step is a field or an index of a path, printed only when it is needed: a bundle
+// of the planned size has 40,000 fields and usually no fault.
+type step struct {
+	name  string
+	index int
+}
+
+func (s step) String() string {
+	if s.name == "" {
+		return "[" + strconv.Itoa(s.index) + "]"
+	}
+	return s.name
+}
+
 func scanFaults(plain []byte) []Fault {
 	s := &scanner{raw: plain}
 	s.value(documentShape)
@@ -68,15 +87,29 @@
 	return 1 + bytes.Count(raw[:min(max(off, 0), len(raw))], []byte("\n"))
 }
 
-func (s *scanner) name() string { return strings.TrimPrefix(strings.Join(s.path, ""), ".") }
+func (s *scanner) name() string {
+	var sb strings.Builder
+	for i, p := range s.path {
+		if i > 0 && p.name != "" {
+			sb.WriteByte('.')
+		}
+		sb.WriteString(p.String())
+	}
+	return sb.String()
+}
 
 func (s *scanner) fault(off int, format string, args ...any) {
 	s.faults = append(s.faults, Fault{field: s.name(), text: fmt.Sprintf(format, args...), line: lineAt(s.raw, off)})
 }
 
 func (s *scanner) space() {
-	for s.pos < len(s.raw) && strings.IndexByte(" \t\r\n", s.raw[s.pos]) >= 0 {
-		s.pos++
+	for s.pos < len(s.raw) {
+		switch s.raw[s.pos] {
+		case ' ', '\t', '\r', '\n':
+			s.pos++
+		default:
+			return
+		}
 	}
 }
 
@@ -115,35 +148,39 @@
 	return s.raw[start:end]
 }
 
-func (s *scanner) key() string {
+// key returns the text of a field's name with its escapes decoded.
+func (s *scanner) key() []byte {
 	text := s.str()
-	if bytes.IndexByte(text, '\\') < 0 {
-		return string(text)
-	}
 	var name string
-	if json.Unmarshal([]byte(`"`+string(text)+`"`), &name) != nil {
-		return string(text)
+	if bytes.IndexByte(text, '\\') < 0 || json.Unmarshal([]byte(`"`+string(text)+`"`), &name) != nil {
+		return text
 	}
-	return name
+	return []byte(name)
 }
 
 func (s *scanner) object(sh *shape) {
-	var seen []string
+	var seen uint64
 	s.pos++
 	for s.more('}') {
 		off := s.pos
 		name := s.key()
-		s.path = append(s.path, "."+name)
 		var field *shape
-		if sh != nil && sh.fields != nil {
-			field = sh.fields[name]
-			if field == nil {
-				s.fault(off, "unknown field")
-			}
-			if contains(seen, name) {
-				s.fault(off, "field stands twice")
-			}
-			seen = append(seen, name)
+		if sh != nil {
+			field = sh.fields[string(name)]
+		}
+		if field != nil {
+			s.path = append(s.path, step{name: field.name})
+		} else {
+			s.path = append(s.path, step{name: quoted(string(name))})
+		}
+		switch {
+		case sh == nil || sh.fields == nil: // The value's type is wrong or its field unknown.
+		case field == nil:
+			s.fault(off, "unknown field")
+		case seen&field.bit != 0:
+			s.fault(off, "field stands twice")
+		default:
+			seen |= field.bit
 		}
 		s.space()
 		s.pos++ // The colon.
@@ -152,13 +189,13 @@
 	}
 }
 
-func contains(seen []string, name string) bool {
-	for _, s := range seen {
-		if s == name {
-			return true
-		}
+// quoted returns a name that is not a field's for a path. It may be empty or
+// hold control characters.
+func quoted(name string) string {
+	if name != "" && strings.Trim(name, "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_") == "" {
+		return name
 	}
-	return false
+	return strconv.Quote(name)
 }
 
 func (s *scanner) array(sh *shape) {
@@ -168,7 +205,7 @@
 	}
 	s.pos++
 	for i := 0; s.more(']'); i++ {
-		s.path = append(s.path, fmt.Sprintf("[%d]", i))
+		s.path = append(s.path, step{index: i})
 		s.value(elem)
 		s.path = s.path[:len(s.path)-1]
 	}
