--- a/core/policy/check.go
+++ b/core/policy/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strings"
+	"unicode"
 
 	"limpethitch.example/core/rcode"
 )
@@ -77,6 +78,9 @@
 	c := &checker{}
 	c.require(d.Version > 0, "version", "must be positive")
 	c.require(d.Author != "", "author", "must name who wrote the bundle")
+	// Both are printed to the terminals of other operators.
+	c.require(printable(d.Author), "author", "must not hold control characters")
+	c.require(printable(d.Comment), "comment", "must not hold control characters")
 	c.require(d.BlindMS > 0 && d.BlindMS <= MaxBlindMS, "blind_ms", "%d is not within 1 to %d", d.BlindMS, MaxBlindMS)
 	c.require(d.BlindOpenMS > 0 && d.BlindOpenMS <= 24*MaxBlindMS, "blind_open_ms", "%d is out of range", d.BlindOpenMS)
 	d.checkDataCentres(c)
@@ -85,6 +89,8 @@
 	return c.faults
 }
 
+func printable(s string) bool { return strings.IndexFunc(s, unicode.IsControl) < 0 }
+
 func (d *Document) checkDataCentres(c *checker) {
 	seen := map[string]bool{}
 	inService := 0
--- a/core/policy/check_test.go
+++ b/core/policy/check_test.go
@@ -41,7 +41,10 @@
 		},
 		"field left out": {replaced(t, "  \"author\": \"ana\",\n", ""), []string{"line 1: author: must name who wrote the bundle"}},
 		"wrong type":     {replaced(t, `"share": 3`, `"share": "3"`), []string{"line 9: teams.share: is a string and must be a int64"}},
-		"field twice":    {replaced(t, `"share": 3`, `"share": 3, "share": 30`), []string{"line 9: teams[0].share: field stands twice"}},
+		"author for the terminal": {
+			replaced(t, `"author": "ana"`, `"author": "ana\u001b[2J"`), []string{"line 3: author: must not hold control characters"},
+		},
+		"field twice": {replaced(t, `"share": 3`, `"share": 3, "share": 30`), []string{"line 9: teams[0].share: field stands twice"}},
 		"field in another case": {
 			replaced(t, `"share": 3`, `"Share": 3`), []string{"line 9: teams[0].Share: unknown field"},
 		},
--- a/limctl/change.go
+++ b/limctl/change.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"fmt"
+	"io"
 	"time"
 
 	"limpethitch.example/core/policy"
@@ -66,12 +68,7 @@
 		return err
 	}
 	if flags.Save != "" {
-		if err := replaceFile(flags.Save, r.raw); err != nil {
-			return err
-		}
-		a.progress("version %d changes:\n%ssigned in %s, sha256 %s", r.bundle.Version(),
-			changeLines(policy.Diff(old, r.bundle)), flags.Save, digest(r.signed))
-		return nil
+		return r.save(flags.Save)
 	}
 	if err := r.signed.Verify(list); err != nil {
 		return err
@@ -79,6 +76,22 @@
 	return r.run()
 }
 
+// save writes the signed form for another approver.
+func (r *rollout) save(file string) error {
+	if err := replaceFile(file, r.raw); err != nil {
+		return err
+	}
+	changes := policy.Diff(r.old, r.bundle)
+	result := struct {
+		signResult
+		Changes []changeDoc `json:"changes"`
+	}{newSignResult(r.signed, r.bundle.Version(), len(r.raw), file), changeDocs(changes)}
+	return r.app.emit(result, func(w io.Writer) {
+		fmt.Fprintf(w, "version %d changes:\n%s", r.bundle.Version(), changeLines(changes))
+		result.print(w)
+	})
+}
+
 // edited returns the next version with the change, not yet signed.
 func (f *bundleFile) edited(flags changeFlags, edit func(*policy.Document) error) (*policy.Signed, error) {
 	doc, err := policy.Decode(f.doc)
--- a/limctl/doctor.go
+++ b/limctl/doctor.go
@@ -142,6 +142,9 @@
 	if e.bundle == nil {
 		return s, true
 	}
+	if s.PolicyVersion < e.bundle.Version() {
+		e.add(SeverityWarn, entry, "%s has policy version %d, version %d is published", s.VM, s.PolicyVersion, e.bundle.Version())
+	}
 	blind := e.bundle.Blind()
 	age := time.Duration(s.PolicyAgeMS) * time.Millisecond
 	e.expect(age <= blind, SeverityFail, entry, "policy is confirmed",
--- a/limctl/fake_test.go
+++ b/limctl/fake_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"sync"
@@ -24,6 +26,8 @@
 	versions  [][]byte
 	bundles   []*policy.Bundle
 	polls     int
+	// keyDir is where a script makes its own approvers, all of whom must sign.
+	keyDir string
 	// stuck holds data centres that never confirm.
 	stuck map[string]bool
 }
@@ -35,6 +39,10 @@
 	cell  *cell
 	calls []string
 	hook  func(r *http.Request, serve func()) bool
+	// refuses is the code of every refusal of a publication.
+	refuses rcode.Code
+	// statusText replaces the status of a healthy cell.
+	statusText string
 }
 
 func newCell(t *testing.T, approvers policy.Approvers) *cell {
@@ -62,7 +70,7 @@
 func (c *cell) publish(raw []byte, ifVersion int64) (*policy.Bundle, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b, err := policy.Open(raw, c.approvers)
+	b, err := c.open(raw)
 	if err != nil {
 		return nil, err
 	}
@@ -76,6 +84,29 @@
 	return b, nil
 }
 
+func (c *cell) open(raw []byte) (*policy.Bundle, error) {
+	if c.keyDir == "" {
+		return policy.Open(raw, c.approvers)
+	}
+	files, err := filepath.Glob(filepath.Join(c.keyDir, "*.pub"))
+	if err != nil {
+		return nil, err
+	}
+	var public []string
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		public = append(public, strings.TrimSpace(string(text)))
+	}
+	list, err := policy.NewApprovers(strings.Join(public, ","), len(public))
+	if err != nil {
+		return nil, err
+	}
+	return policy.Open(raw, list)
+}
+
 // ServeHTTP runs the hook around the API.
 func (vm *fakeVM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	vm.cell.mu.Lock()
@@ -98,6 +129,8 @@
 	}
 	path := strings.TrimPrefix(r.URL.Path, "/v1/")
 	switch {
+	case r.Method == http.MethodPost && vm.refuses != "":
+		refuse(w, apiError{Code: vm.refuses, Message: "refused"})
 	case r.Method == http.MethodPost && path == "bundles":
 		vm.post(w, r)
 	case path == "bundles":
@@ -199,6 +232,9 @@
 }
 
 func (vm *fakeVM) status() string {
+	if vm.statusText != "" {
+		return vm.statusText
+	}
 	return `{"vm":"vm-1","data_centre":"dc1","policy_version":1,"policy_age_ms":40,"store_ok":true,
 "shards":[{"shard":"dc1/0","owner":"vm-1","epoch":3,"mode":"store","deadline_unix_ms":1900000000000}],
 "vms":[{"vm":"vm-1","data_centre":"dc1","state":"live","policy_version":1},{"vm":"vm-2","data_centre":"dc2","state":"live","policy_version":1}],
--- a/limctl/harness_test.go
+++ b/limctl/harness_test.go
@@ -60,20 +60,31 @@
 	vms   []*fakeVM
 	clock *waitlessClock
 	seed  *rand.ChaCha8
+	// document is the bundle that scripts find as bundle.json.
+	document string
 }
 
+// repository is the root of the repository, before a test changes its directory.
+var repository = func() string {
+	dir, err := filepath.Abs("..")
+	if err != nil {
+		panic(err)
+	}
+	return dir
+}()
+
 func newHarness(t *testing.T, vms int) *harness {
 	t.Helper()
 	const seed = 7
 	t.Logf("seed %d", seed)
-	h := &harness{t: t, dir: t.TempDir(), seed: rand.NewChaCha8([32]byte{seed})}
+	h := &harness{t: t, dir: t.TempDir(), document: valid, seed: rand.NewChaCha8([32]byte{seed})}
 	h.clock = &waitlessClock{Fake: clock.NewFake(time.Unix(1_800_000_000, 0))}
 	t.Chdir(h.dir)
 	t.Setenv("LIMCTL_TOKEN", fakeToken)
 	var public []string
 	for _, name := range []string{"ana", "ben"} {
-		_, out, _ := h.run("keygen", name)
-		public = append(public, strings.Fields(out)[5])
+		h.must(exitOK, "keygen", name)
+		public = append(public, strings.TrimSpace(h.read(name+".pub")))
 	}
 	list := strings.Join(public, ",")
 	t.Setenv("LIMCTL_APPROVERS", list)
@@ -125,11 +136,7 @@
 	}
 	var out []string
 	for _, f := range files {
-		raw, err := os.ReadFile(f)
-		if err != nil {
-			h.t.Fatal(err)
-		}
-		_, enc, _ := strings.Cut(strings.TrimSpace(string(raw)), "=")
+		_, enc, _ := strings.Cut(strings.TrimSpace(h.read(filepath.Base(f))), "=")
 		if _, err := base64.StdEncoding.DecodeString(enc); err == nil && enc != "" {
 			out = append(out, enc)
 		}
@@ -137,6 +144,15 @@
 	return out
 }
 
+func (h *harness) read(name string) string {
+	h.t.Helper()
+	raw, err := os.ReadFile(filepath.Join(h.dir, name))
+	if err != nil {
+		h.t.Fatal(err)
+	}
+	return string(raw)
+}
+
 func (h *harness) write(name, text string) {
 	h.t.Helper()
 	if err := os.WriteFile(filepath.Join(h.dir, name), []byte(text), 0o600); err != nil {
--- a/limctl/keygen.go
+++ b/limctl/keygen.go
@@ -3,14 +3,15 @@
 import (
 	"crypto/ed25519"
 	"io"
+	"strings"
 
 	"limpethitch.example/core/rcode"
 )
 
 const keygenManual = `Creates an approver's ed25519 key pair. The private key goes into a new
 file that only its owner can read; it is never printed and an existing file is
-never overwritten. The public key is printed in the form that LIMCTL_APPROVERS
-and the settings of the entry VMs take.
+never overwritten. The public key is printed, and written to a file that ends in
+.pub, in the form that LIMCTL_APPROVERS and the settings of the entry VMs take.
 
 Example:
 
@@ -41,6 +42,9 @@
 	if err := writeNew(file, []byte(k.encode()), 0o600); err != nil {
 		return err
 	}
+	if err := writeNew(publicFile(file), []byte(k.encodePublic()+"\n"), 0o644); err != nil {
+		return err
+	}
 	result := struct {
 		Approver string `json:"approver"`
 		Public   string `json:"public"`
@@ -50,3 +54,5 @@
 		table(w, []string{"private key", file}, []string{"public key", result.Public})
 	})
 }
+
+func publicFile(private string) string { return strings.TrimSuffix(private, ".key") + ".pub" }
--- a/limctl/output.go
+++ b/limctl/output.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"text/tabwriter"
 
 	"limpethitch.example/core/rcode"
@@ -110,12 +112,16 @@
 
 // table prints rows of cells in columns.
 func table(w io.Writer, rows ...[]string) {
-	tw := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	var buf bytes.Buffer
+	tw := tabwriter.NewWriter(&buf, 0, 4, 2, ' ', 0)
 	for _, row := range rows {
 		for _, cell := range row {
 			fmt.Fprintf(tw, "%s\t", cell)
 		}
 		fmt.Fprintln(tw)
 	}
-	_ = tw.Flush() // The writer is stdout or a buffer.
+	_ = tw.Flush() // A buffer does not fail.
+	for line := range strings.Lines(buf.String()) {
+		fmt.Fprintln(w, strings.TrimRight(line, " \n"))
+	}
 }
--- a/limctl/roll_test.go
+++ b/limctl/roll_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"net/http"
 	"os"
 	"strings"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/rcode"
 )
 
 // Guards against a rollout that is reported in force before every data centre in
@@ -93,6 +94,25 @@
 		"first VM down": {
 			func(h *harness) { h.vms[0].Close() }, exitOK, "is in force", 2, []int{0, 1},
 		},
+		"first VM shuts down": {
+			func(h *harness) { h.vms[0].refuses = rcode.Draining }, exitOK, "is in force", 2, []int{1, 1},
+		},
+		"store down": {
+			func(h *harness) { h.vms[0].refuses, h.vms[1].refuses = rcode.StoreUnavailable, rcode.StoreUnavailable },
+			exitUnavailable, "LH2005", 1,
+			[]int{1, 1},
+		},
+		"refused as unsigned": {
+			func(h *harness) { h.vms[0].refuses = rcode.BundleUnsigned }, exitUnsigned, "LH4002", 1, []int{1, 0},
+		},
+		"reply lost and then refused": {
+			func(h *harness) { h.vms[0].hook, h.vms[1].refuses = lost(false, 1), rcode.OperatorRefused },
+			exitUnknown, "LH3001", 1,
+			[]int{1, 1},
+		},
+		"outcome unknown to the VM": {
+			func(h *harness) { h.vms[0].refuses = rcode.OutcomeUnknown }, exitOK, "is in force", 2, []int{1, 1},
+		},
 		"all VMs down": {
 			func(h *harness) { h.vms[0].Close(); h.vms[1].Close() }, exitUnavailable, "LH2013", 1, []int{0, 0},
 		},
@@ -242,20 +262,8 @@
 	if !strings.Contains(errs, "LIMCTL_APPROVERS") {
 		t.Error(errs)
 	}
-	raw, err := os.ReadFile("forged-signed.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	h.cell.versions[0] = raw
-	ana, err := os.ReadFile("ana.key")
-	if err != nil {
-		t.Fatal(err)
-	}
-	key, err := parseApproverKey(string(ana), "ana.key")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Setenv("LIMCTL_APPROVERS", key.encodePublic())
+	h.cell.versions[0] = []byte(h.read("forged-signed.json"))
+	t.Setenv("LIMCTL_APPROVERS", strings.TrimSpace(h.read("ana.pub")))
 	h.must(exitUnsigned, "out", "dc2", "--key-file", "ana.key", "--save", "saved.json")
 	if _, err := os.Stat("saved.json"); !os.IsNotExist(err) {
 		t.Errorf("a change of a forged bundle was signed: %v", err)
@@ -282,11 +290,7 @@
 	h.must(exitOK, "check", "two.json")
 	t.Setenv("LIMCTL_APPROVALS", "1")
 	h.must(exitOK, "roll", "two.json")
-	two, err := os.ReadFile("two.json")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !bytes.Equal(two, h.cell.versions[1]) {
-		t.Error("the published bytes are not those that were signed")
+	if d := cmp.Diff(h.read("two.json"), string(h.cell.versions[1])); d != "" {
+		t.Errorf("the published bytes are not those that were signed:\n%s", d)
 	}
 }
--- a/limctl/sign.go
+++ b/limctl/sign.go
@@ -70,14 +70,21 @@
 	if err := replaceFile(cmd.Out, raw); err != nil {
 		return err
 	}
-	result := signResult{Version: bundle.Version(), Digest: digest(signed), Bytes: len(raw), File: cmd.Out}
-	for _, s := range signed.Signatures {
-		result.Approvers = append(result.Approvers, s.Approver)
+	result := newSignResult(signed, bundle.Version(), len(raw), cmd.Out)
+	return a.emit(result, result.print)
+}
+
+func newSignResult(s *policy.Signed, version int64, size int, file string) signResult {
+	result := signResult{Version: version, Digest: digest(s), Bytes: size, File: file}
+	for _, sig := range s.Signatures {
+		result.Approvers = append(result.Approvers, sig.Approver)
 	}
-	return a.emit(result, func(w io.Writer) {
-		fmt.Fprintf(w, "version %d signed by %s, %d bytes in %s\nsha256 of the signed bytes: %s\n",
-			result.Version, strings.Join(result.Approvers, ", "), result.Bytes, result.File, result.Digest)
-	})
+	return result
+}
+
+func (r signResult) print(w io.Writer) {
+	fmt.Fprintf(w, "version %d signed by %s, %d bytes in %s\nsha256 of the signed bytes: %s\n",
+		r.Version, strings.Join(r.Approvers, ", "), r.Bytes, r.File, r.Digest)
 }
 
 func digest(s *policy.Signed) string {
