--- a/entry/owner/hold.go
+++ b/entry/owner/hold.go
@@ -135,17 +135,21 @@
 	return m.owning.fence
 }
 
+// authority is the present right to start work. One that lasts to the hard
+// deadline is given out Term at a time: a start with a longer lease could still
+// be in flight when the shard has returned to store mode and changed hands.
 func (m *machine) authority() Authority {
 	o := &m.owning
+	rolling := m.now.Add(Term)
 	if m.standby.acting {
-		return Authority{epoch: m.rec.epoch + 1, until: m.standby.actingEnd(m), mode: ModeActing}
+		return Authority{epoch: m.rec.epoch + 1, until: min(rolling, m.standby.actingEnd(m)), mode: ModeActing}
 	}
 	if !o.holding || m.pending(kindHandOver) {
 		return Authority{epoch: o.epoch, mode: ModeNone}
 	}
 	hard := o.renewed.Add(HardDeadline)
 	if o.alone {
-		return Authority{epoch: o.epoch, until: hard, mode: ModeAlone}
+		return Authority{epoch: o.epoch, until: min(rolling, hard), mode: ModeAlone}
 	}
 	if !o.asked() {
 		return Authority{epoch: o.epoch, until: o.storeUntil, mode: ModeStore}
@@ -252,7 +256,7 @@
 func (m *machine) pickStandby(owner string) (incarnation, addr string) {
 	var first *Candidate
 	for i, c := range m.candidates {
-		if c.leaving || c.foreign || c.incarnation == owner || m.gone[c.incarnation] {
+		if c.leaving || c.foreign || c.incarnation == owner || m.isGone(c.incarnation, c.addr) {
 			continue
 		}
 		if c.incarnation == m.rec.standby {
@@ -282,10 +286,7 @@
 	switch {
 	case !o.asked() && !overdue:
 	case !overdue && o.promised.Sub(m.now) >= promiseLow:
-		o.seq++
-		o.lastRelease, o.granted = o.seq, false
-		o.releasing = &ask{seq: o.seq, sent: m.now, deadline: m.now.Add(CallTimeout)}
-		m.do(askRelease{addr: m.rec.standbyAddr, req: ReleaseRequest{Record: m.rec, Revision: m.rev, Seq: o.seq}})
+		m.sendRelease()
 	default:
 		o.seq++
 		o.asking = &ask{seq: o.seq, sent: m.now, deadline: m.now.Add(CallTimeout)}
@@ -293,6 +294,14 @@
 	}
 }
 
+func (m *machine) sendRelease() {
+	o := &m.owning
+	o.seq++
+	o.lastRelease, o.granted = o.seq, false
+	o.releasing = &ask{seq: o.seq, sent: m.now, deadline: m.now.Add(CallTimeout)}
+	m.do(askRelease{addr: m.rec.standbyAddr, req: ReleaseRequest{Record: m.rec, Revision: m.rev, Seq: o.seq}})
+}
+
 func (m *machine) promised(in promised) {
 	o := &m.owning
 	a := o.asking
--- a/entry/owner/machine.go
+++ b/entry/owner/machine.go
@@ -182,7 +182,9 @@
 	out   []action
 
 	candidates []Candidate
-	gone       map[string]bool
+	// gone holds when each ended incarnation was first known to have ended.
+	gone map[string]clock.Mono
+	born clock.Mono
 
 	// What is known of the record. rev 0 with known means that none exists.
 	known  bool
@@ -204,7 +206,7 @@
 }
 
 func newMachine(self Candidate, dc string, shard int, rng *rand.Rand, now clock.Mono) *machine {
-	m := &machine{self: self, dc: dc, shard: shard, rng: rng, now: now, gone: map[string]bool{}}
+	m := &machine{self: self, dc: dc, shard: shard, rng: rng, now: now, born: now, gone: map[string]clock.Mono{}}
 	m.taking.since = now
 	m.taking.jitter = m.jitter(Stagger / 2)
 	return m
@@ -273,14 +275,19 @@
 }
 
 func (m *machine) markGone(incarnation string) {
-	if incarnation != "" && incarnation != m.self.incarnation {
-		m.gone[incarnation] = true
+	if _, ok := m.gone[incarnation]; !ok && incarnation != "" && incarnation != m.self.incarnation {
+		m.gone[incarnation] = m.now
 	}
 }
 
-// isGone also covers a former process at this VM's own address.
+// isGone also covers a former process at this VM's own address. The margin is
+// for starts that the process sent before it ended.
 func (m *machine) isGone(incarnation, addr string) bool {
-	return m.gone[incarnation] || incarnation != m.self.incarnation && addr == m.self.addr
+	since, ok := m.gone[incarnation]
+	if !ok && incarnation != m.self.incarnation && addr == m.self.addr {
+		since, ok = m.born, true
+	}
+	return ok && m.now >= since.Add(Margin)
 }
 
 func (m *machine) ownerGone() bool { return m.isGone(m.rec.owner, m.rec.ownerAddr) }
@@ -426,6 +433,9 @@
 	m.nextCall = m.now
 	m.taking.checked = m.now
 	m.taking.hasCheck = true
+	if !m.owning.holding {
+		m.takeTick()
+	}
 }
 
 // tokenOf is unique over all writes: incarnations are unique over processes
--- a/entry/owner/take.go
+++ b/entry/owner/take.go
@@ -28,6 +28,9 @@
 const (
 	wayNone    way = "none"
 	wayConsent way = "consent"
+	// wayRelease: this VM gave up the ownership while the standby may have been
+	// in standby mode, in which case it does not consent.
+	wayRelease way = "release"
 	wayTake    way = "take"
 )
 
@@ -44,6 +47,8 @@
 	switch {
 	case mineEnded && !m.owning.dirty, ownerOut && m.standbyGone(), hard:
 		return wayTake
+	case mineEnded:
+		return wayRelease
 	case (waited || ownerOut) && !m.standbyGone():
 		return wayConsent
 	}
@@ -54,7 +59,7 @@
 	s := &m.standby
 	if s.active && s.matches(m.rec) {
 		waited = false
-		ownerOut = s.acting && (ownerOut || s.yielded)
+		ownerOut = (s.acting || m.now >= s.actingEnd(m)) && (ownerOut || s.yielded)
 	}
 	if ownerOut || waited || hard {
 		return wayTake
@@ -111,10 +116,11 @@
 	if !t.eligible {
 		t.eligible, t.since = true, m.now
 	}
+	delay := time.Duration(rank)*Stagger + t.jitter
 	if m.rev > 0 && m.rec.standby == m.self.incarnation {
-		rank = 0
+		delay = 0
 	}
-	if m.now < t.since.Add(time.Duration(rank)*Stagger+t.jitter) {
+	if m.now < t.since.Add(delay) {
 		return
 	}
 	if !t.hasCheck || m.now.Sub(t.checked) > CallTimeout {
@@ -125,9 +131,19 @@
 		m.askForConsent()
 		return
 	}
+	if next == wayRelease {
+		m.askForRelease()
+		return
+	}
 	m.take()
 }
 
+func (m *machine) askForRelease() {
+	if o := &m.owning; o.releasing == nil && m.now >= o.nextAsk {
+		m.sendRelease()
+	}
+}
+
 func (m *machine) askForConsent() {
 	t := &m.taking
 	if t.asking != nil || m.now < t.nextAsk {
