--- a/entry/place/decide.go
+++ b/entry/place/decide.go
@@ -34,6 +34,7 @@
 	s.escalate()
 	s.relieve()
 	s.shed()
+	s.restore()
 	if s.outOfService {
 		return s.out
 	}
@@ -49,12 +50,10 @@
 		s.wakeAt = 0
 		s.version++
 	}
-	if s.tried != s.version {
-		s.tried = s.version
-		s.unblock()
-	}
+	s.unblock()
 	s.serveHeap(0, urgentMask)
 	s.serveHeap(1, otherMask)
+	s.endRoomy()
 	return s.out
 }
 
@@ -83,7 +82,10 @@
 
 // serve places the first job of t that fits.
 func (s *State) serve(t *team, mask uint32) {
-	for {
+	if t.soft != 0 {
+		s.recheck(t)
+	}
+	for s.room() {
 		j := s.first(t, mask)
 		if j == nil {
 			return
@@ -95,16 +97,46 @@
 			}
 			return
 		}
+		if j.why == ReasonReservation && s.backfill(t, lane) {
+			return
+		}
 		switch {
 		case j.cancelled || j.offered:
 		case j.pending():
-			t.blocked |= 1 << lane
+			s.block(j, lane)
 		default:
 			s.dequeue(j)
 		}
 	}
 }
 
+// backfillTries bounds the jobs tried behind one that a reservation keeps back.
+const backfillTries = 8
+
+// backfill starts a task of a job behind the first of a lane, which ends before
+// the reservation that keeps the first one back.
+func (s *State) backfill(t *team, lane uint8) bool {
+	if len(t.lanes[lane]) < 2 {
+		return false
+	}
+	for _, j := range t.lanes[lane][1:min(len(t.lanes[lane]), backfillTries+1)] {
+		if j.cancelled || j.spec.class == policy.ClassGang || !j.pending() || s.expired(j) {
+			continue
+		}
+		size := s.sizeOf(j)
+		w, _ := s.pick(j, size)
+		if w == nil || !s.reserve(j, size) {
+			continue
+		}
+		s.start(j, j.take(), w, size)
+		if !j.pending() {
+			s.dequeue(j)
+		}
+		return true
+	}
+	return false
+}
+
 // place tries to start one task of j, or all tasks of a gang.
 func (s *State) place(j *job) bool {
 	if s.expired(j) {
@@ -258,7 +290,7 @@
 	switch {
 	case s.plain.n+s.accelerated.n == 0:
 		j.why = ReasonUnready
-	case s.holds(size) == 0 || j.spec.class == policy.ClassGang && s.holds(size) < j.spec.members:
+	case !size.Fits(s.least) && s.holds(size) == 0 || j.spec.class == policy.ClassGang && s.holds(size) < j.spec.members:
 		j.why = ReasonNever
 	case reserved:
 		j.why = ReasonReservation
--- a/entry/place/gang.go
+++ b/entry/place/gang.go
@@ -20,14 +20,17 @@
 
 // placeGang starts all waiting members of a gang or none.
 func (s *State) placeGang(j *job) bool {
-	if j.restart && j.running > 0 || s.now < j.nextTry {
+	if s.now < j.nextTry {
+		s.wakeBy(j.nextTry)
 		return false
 	}
-	j.restart = false
-	size, n := s.sizeOf(j), j.count()
-	if j.parked > 0 {
+	if j.running+len(j.away) > 0 {
+		// After a recovery only some members run, which is of no use.
+		s.restartGang(j, OutcomeLost)
+		s.version++
 		return false
 	}
+	size, n := s.sizeOf(j), j.count()
 	if n > s.max-len(s.out) && len(s.out) > 0 {
 		// All members are issued in one call; the next one has more room.
 		s.version++
@@ -51,6 +54,9 @@
 // pickAll fills s.picked with workers for n tasks, or reports false.
 func (s *State) pickAll(j *job, size amount.Vec, n int) bool {
 	s.picked = s.picked[:0]
+	if n > times(s.freeTotal, size) {
+		return false
+	}
 	for len(s.picked) < n {
 		w, _ := s.pick(j, size)
 		if w == nil {
@@ -222,7 +228,7 @@
 // Room returns how many tasks of a size fit at this moment, at most atMost.
 func (s *State) Room(team string, size amount.Vec, atMost int) int {
 	probe := &job{spec: Job{size: size}, team: s.team(team), est: &estimate{}, rank: rankBatch}
-	s.pickAll(probe, size, atMost)
+	s.pickAll(probe, size, min(atMost, times(s.freeTotal, size)))
 	return len(s.picked)
 }
 
--- a/entry/place/index.go
+++ b/entry/place/index.go
@@ -189,9 +189,11 @@
 	n, at int
 }
 
+// covers reports whether size is at least one that found no room. What is kept
+// with accelerators is room for work that needs them.
 func (f *frontier) covers(size amount.Vec) bool {
 	for i := range f.n {
-		if f.sizes[i].Fits(size) {
+		if f.sizes[i].Fits(size) && (f.sizes[i].Accelerators() > 0 || size.Accelerators() == 0) {
 			return true
 		}
 	}
--- a/entry/place/learn.go
+++ b/entry/place/learn.go
@@ -14,8 +14,10 @@
 	minSamples = 5
 	// defaultRun stands in for a run time that was neither declared nor learned.
 	defaultRun = 5 * time.Minute
-	minCPU     = 10
-	minMemory  = 1
+	// maxRun bounds declared run times, so that sums of times cannot overflow.
+	maxRun    = 365 * 24 * time.Hour
+	minCPU    = 10
+	minMemory = 1
 )
 
 // series keeps the last values and their p95.
@@ -86,7 +88,14 @@
 		return time.Duration(j.est.run.p95)
 	}
 	if j.spec.run > 0 {
-		return j.spec.run
+		return min(j.spec.run, maxRun)
 	}
 	return defaultRun
 }
+
+// learnSize takes the peak of a task into its kind's estimate. It is called
+// while the task still runs too, since long tasks would teach too late.
+func (s *State) learnSize(t *task) {
+	t.job.est.cpu.add(t.peak.CPUMilli())
+	t.job.est.mem.add(t.peak.MemoryMiB())
+}
--- a/entry/place/preempt.go
+++ b/entry/place/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -36,11 +37,6 @@
 	if len(s.order) == 0 || !s.room() {
 		return false
 	}
-	// Nothing is preempted for work that its limit does not allow.
-	if !s.reserve(j, size) {
-		return false
-	}
-	s.cfg.Limiter.Free(j.team.name, size)
 	var best *worker
 	var cost float64
 	at := s.rng.IntN(len(s.order))
@@ -54,12 +50,14 @@
 		}
 		need := size.Sub(w.free()).Positive()
 		c, ok := s.victimsOn(w, need)
-		if ok && (best == nil || c < cost) && len(s.victims) <= s.max-len(s.out) {
+		if ok && s.keepsAccelerators(w, s.freeWithout(w), size) && (best == nil || c < cost) && len(s.victims) <= s.max-len(s.out) {
 			best, cost = w, c
 			s.chosen = append(s.chosen[:0], s.victims...)
 		}
 	}
-	if best == nil {
+	// The charge stays with the claim: nothing is preempted for work that its
+	// limit does not allow, nor for two members where it allows one.
+	if best == nil || !s.reserve(j, size) {
 		return false
 	}
 	for _, t := range s.chosen {
@@ -71,6 +69,15 @@
 	return true
 }
 
+// freeWithout returns what is free on w without s.victims.
+func (s *State) freeWithout(w *worker) amount.Vec {
+	free := w.free()
+	for _, t := range s.victims {
+		free = free.Add(t.size)
+	}
+	return free
+}
+
 // yields reports whether a task may be preempted for urgent work. One that may
 // not run twice is never a victim, and stopping a member stops a whole gang.
 func (t *task) yields() bool {
@@ -142,11 +149,13 @@
 func (s *State) serveClaim(c claim) bool {
 	if c.job.cancelled {
 		s.unclaim(c)
+		s.cfg.Limiter.Free(c.job.team.name, c.size)
 		return true
 	}
 	w := c.worker
 	if !w.usable() {
 		s.unclaim(c)
+		s.cfg.Limiter.Free(c.job.team.name, c.size)
 		c.job.retry = append(c.job.retry, c.member)
 		s.enqueue(c.job)
 		return true
@@ -155,7 +164,7 @@
 		return false
 	}
 	if !c.size.Fits(w.free()) {
-		if s.tried == s.version {
+		if s.tried == s.version && len(s.roomy) == 0 {
 			return false
 		}
 		q := &s.query
@@ -164,9 +173,6 @@
 			return false
 		}
 	}
-	if !s.reserve(c.job, c.size) {
-		return false
-	}
 	s.unclaim(c)
 	s.start(c.job, c.member, w, c.size)
 	return true
@@ -193,16 +199,63 @@
 	}
 }
 
-// confirmThrottle lowers what is set aside once the worker reports that the
-// task keeps to its throttle.
-func (s *State) confirmThrottle(t *task, used amount.Vec) amount.Vec {
-	if used.CPUMilli() > t.full.CPUMilli() {
-		return t.size.Max(used)
-	}
-	t.how, t.throttled = "", true
-	t.worker.throttled++
+// throttled notes that a task keeps to its throttle.
+func (s *State) throttled(t *task) {
+	t.how = ""
 	s.preempting = slices.DeleteFunc(s.preempting, func(p *task) bool { return p == t })
-	return amount.New(t.full.CPUMilli(), max(t.size.MemoryMiB(), used.MemoryMiB()), t.size.Accelerators(), t.size.Requests())
+	if !t.throttled {
+		t.throttled = true
+		t.worker.throttled++
+	}
+}
+
+// restore lifts throttles as far as their workers have room again.
+func (s *State) restore() {
+	kept := s.slowed[:0]
+	for _, w := range s.slowed {
+		if w.throttled > 0 && w.usable() && w.claim == nil && s.room() {
+			s.restoreOn(w)
+		}
+		if w.throttled > 0 || w.overloaded {
+			kept = append(kept, w)
+			continue
+		}
+		w.slow = false
+	}
+	clear(s.slowed[len(kept):])
+	s.slowed = kept
+}
+
+// restoreAt is the part of a worker's processors below which a throttle is not
+// lifted, so that workers do not receive a message for every small change.
+const restoreAt = 16
+
+func (s *State) restoreOn(w *worker) {
+	free, want := w.free().CPUMilli(), int64(0)
+	for _, t := range w.tasks {
+		if t.throttled && t.how == "" {
+			want += max(0, t.peak.CPUMilli()-t.size.CPUMilli())
+		}
+	}
+	if free < want && free < w.capacity.CPUMilli()/restoreAt {
+		return
+	}
+	for _, t := range w.tasks {
+		if !t.throttled || t.how != "" || !s.room() {
+			continue
+		}
+		more := max(0, t.peak.CPUMilli()-t.size.CPUMilli())
+		if free < want {
+			more = int64(float64(more) * float64(free) / float64(want))
+		}
+		t.cap = t.size.CPUMilli() + more
+		s.resize(t, withCPU(t.size, t.cap))
+		s.emit(Preempt{task: t.id, worker: w.id, how: HowThrottle, size: t.size, by: s.now.Add(s.cfg.ThrottleGrace)})
+		if t.cap >= t.peak.CPUMilli() {
+			t.throttled = false
+			w.throttled--
+		}
+	}
 }
 
 // relieve makes tasks of overloaded workers give way until what is used fits:
@@ -266,17 +319,34 @@
 	return t.job.spec.class == policy.ClassBatch && t.job.spec.repeatable
 }
 
-// throttle holds tasks that use more processors than was set aside to that.
+// throttle spreads the processors that are missing over the tasks that use more
+// than was set aside at their start, in proportion to the excess.
 func (s *State) throttle(w *worker) bool {
-	any := false
+	over, excess := w.used.CPUMilli()-w.capacity.CPUMilli(), int64(0)
+	if over <= 0 {
+		return false
+	}
 	for _, t := range w.tasks {
-		if t.how != "" || t.throttled || t.size.CPUMilli() <= t.full.CPUMilli() || !s.room() {
+		if t.how == "" && !t.throttled {
+			excess += max(0, t.size.CPUMilli()-t.full.CPUMilli())
+		}
+	}
+	if excess < over {
+		return false
+	}
+	for _, t := range w.tasks {
+		more := t.size.CPUMilli() - t.full.CPUMilli()
+		if t.how != "" || t.throttled || more <= 0 || !s.room() {
 			continue
 		}
-		s.preempt(t, HowThrottle, t.full, s.now.Add(s.cfg.ThrottleGrace))
-		any = true
+		t.cap = max(minCPU, t.size.CPUMilli()-int64(math.Ceil(float64(more)*float64(over)/float64(excess))))
+		s.preempt(t, HowThrottle, withCPU(t.size, t.cap), s.now.Add(s.cfg.ThrottleGrace))
 	}
-	return any
+	if !w.slow {
+		w.slow = true
+		s.slowed = append(s.slowed, w)
+	}
+	return true
 }
 
 // Shed has running work of a team stopped until excess is free, by least work
--- a/entry/place/queue.go
+++ b/entry/place/queue.go
@@ -35,14 +35,17 @@
 const (
 	// levels split a queue by size, so that a large job that does not fit does
 	// not hide the smaller ones behind it.
-	levels     = 6
-	lanes      = 4 * levels
-	urgentMask = 1<<levels - 1
+	levels = 6
+	// Work for accelerators has a lane of its own in each class, since it finds
+	// room where other work does not.
+	accLanes   = 4 * levels
+	lanes      = accLanes + 4
+	urgentMask = 1<<levels - 1 | 1<<accLanes
 	otherMask  = (1<<lanes - 1) &^ urgentMask
 )
 
 // laneOf returns the queue of a job: 6 levels of size for each of urgent,
-// service, gang and batch.
+// service, gang and batch, and one each for work that needs accelerators.
 func (s *State) laneOf(j *job) uint8 {
 	class := 3
 	switch j.spec.class {
@@ -53,6 +56,9 @@
 	case policy.ClassGang:
 		class = 2
 	}
+	if j.spec.size.Accelerators() > 0 {
+		return uint8(accLanes + class)
+	}
 	size, top := s.sizeOf(j), s.plain.top
 	part := max(ratio(size.CPUMilli(), top.CPUMilli()), ratio(size.MemoryMiB(), top.MemoryMiB()), 1e-9)
 	level := max(0, min(levels-1, levels-1+int(math.Ceil(math.Log2(part)))))
@@ -102,6 +108,12 @@
 	// blocked marks lanes whose first job could not be placed since the last
 	// change that may help it.
 	blocked uint32
+	// needs is the size that found no room in a blocked lane; atLimit marks the
+	// lanes blocked by the limit instead.
+	needs [lanes]need
+	// soft marks lanes that may fit only the workers in State.roomy.
+	soft    uint32
+	atLimit uint32
 	// at is the position in the urgent and the other heap of teams, or -1.
 	at [2]int
 	// shedding is what must stop because the limit was lowered.
@@ -194,6 +206,7 @@
 	t.nonEmpty |= 1 << j.lane
 	if t.lanes[j.lane][0] == j {
 		t.blocked &^= 1 << j.lane
+		t.soft &^= 1 << j.lane
 	}
 	s.wake(t)
 }
@@ -208,6 +221,7 @@
 		j.team.nonEmpty &^= 1 << j.lane
 	}
 	j.team.blocked &^= 1 << j.lane
+	j.team.soft &^= 1 << j.lane
 	s.wake(j.team)
 }
 
@@ -221,14 +235,85 @@
 	}
 }
 
-// unblock lets every waiting team be tried again.
+// maxRoomy bounds the workers compared with each blocked lane; with more it is
+// cheaper to try all lanes again.
+const maxRoomy = 16
+
+// need is the processors and memory that a blocked lane's first job needs.
+type need struct{ cpu, mem int64 }
+
+// unblock lets lanes be tried again: all of them after a change of version,
+// otherwise those whose first job fits a worker that has more room.
 func (s *State) unblock() {
+	all := s.tried != s.version
+	s.tried = s.version
+	if !all && len(s.roomy) == 0 {
+		return
+	}
 	for _, t := range s.teamOrder {
-		if t.blocked != 0 {
-			t.blocked = 0
-			s.wake(t)
+		if t.blocked == 0 {
+			continue
+		}
+		if all {
+			t.blocked, t.atLimit, t.soft = 0, 0, 0
+		} else {
+			s.unblockTeam(t)
+		}
+		s.wake(t)
+	}
+}
+
+// endRoomy forgets the workers with more room once all lanes were tried.
+func (s *State) endRoomy() {
+	for _, w := range s.roomy {
+		w.fresh = false
+	}
+	clear(s.roomy)
+	s.roomy = s.roomy[:0]
+}
+
+func (s *State) unblockTeam(t *team) {
+	for rest := t.blocked &^ t.atLimit & t.nonEmpty; rest != 0; rest &= rest - 1 {
+		lane := bits.TrailingZeros32(rest)
+		if s.fitsRoomy(t.needs[lane]) {
+			t.blocked &^= 1 << lane
+			t.soft |= 1 << lane
+		}
+	}
+}
+
+func (s *State) fitsRoomy(n need) bool {
+	for _, w := range s.roomy {
+		if free := w.free(); n.cpu <= free.CPUMilli() && n.mem <= free.MemoryMiB() {
+			return true
+		}
+	}
+	return false
+}
+
+// recheck blocks the lanes again whose room other teams have taken meanwhile,
+// which costs less than a search.
+func (s *State) recheck(t *team) {
+	for rest := t.soft &^ t.blocked; rest != 0; rest &= rest - 1 {
+		lane := bits.TrailingZeros32(rest)
+		if !s.fitsRoomy(t.needs[lane]) {
+			t.blocked |= 1 << lane
 		}
 	}
+	t.soft &^= t.blocked
+}
+
+// block keeps a lane from being tried until something changed for it.
+func (s *State) block(j *job, lane uint8) {
+	t := j.team
+	t.blocked |= 1 << lane
+	t.atLimit &^= 1 << lane
+	if j.why == ReasonLimit {
+		t.atLimit |= 1 << lane
+	}
+	t.soft &^= 1 << lane
+	size := s.sizeOf(j)
+	t.needs[lane] = need{size.CPUMilli(), size.MemoryMiB()}
 }
 
 // first returns the job to serve next among the open lanes of mask.
@@ -242,24 +327,41 @@
 	return best
 }
 
-// head returns the first job of a lane that was not cancelled.
+// head returns the first job of a lane that was not cancelled. Jobs whose
+// latest safe start moved back, or passed, sink to their place first.
 func (s *State) head(t *team, i int) *job {
 	for t.lanes[i].Len() > 0 {
 		j := t.lanes[i][0]
-		if !j.cancelled {
+		if j.cancelled {
+			s.dead--
+			heap.Pop(&t.lanes[i])
+			continue
+		}
+		key := s.safeStart(j)
+		if key <= j.key {
 			return j
 		}
-		s.dead--
-		heap.Pop(&t.lanes[i])
+		j.key = key
+		heap.Fix(&t.lanes[i], 0)
 	}
 	t.nonEmpty &^= 1 << i
 	return nil
 }
 
-// safeStart returns the latest start from which a task still ends in time.
+// lateKey is added to the key of jobs that will miss their deadline, so that
+// they do not make others miss theirs too.
+const lateKey = clock.Mono(1) << 61
+
+// safeStart returns the latest start from which a task still ends in time. A
+// job is late when even a run of half the estimate would not end in time.
 func (s *State) safeStart(j *job) clock.Mono {
 	if j.spec.deadline == 0 {
 		return math.MaxInt64
 	}
-	return j.spec.deadline.Add(-s.runOf(j))
+	run := s.runOf(j)
+	key := j.spec.deadline.Add(-run)
+	if s.now.Add(run/2) > j.spec.deadline && j.est.run.n >= minSamples {
+		key += lateKey
+	}
+	return key
 }
--- a/entry/place/state.go
+++ b/entry/place/state.go
@@ -16,12 +16,15 @@
 	cfg Config
 	rng *rand.Rand
 	now clock.Mono
-	// version grows with every event after which waiting work may fit.
+	// version grows with every event after which any waiting work may fit.
 	version, tried uint64
-	out            []Decision
-	max            int
-	offersLeft     int
-	outOfService   bool
+	// roomy are the workers with more room since the last call. Only work that
+	// fits one of them is tried again, unless the version changed too.
+	roomy        []*worker
+	out          []Decision
+	max          int
+	offersLeft   int
+	outOfService bool
 	// wakeAt is when blocked jobs are tried again without an event, planAt
 	// when the next reservation may be planned; 0 is none.
 	wakeAt, planAt clock.Mono
@@ -34,6 +37,10 @@
 	rackNames []string
 	shapes    map[amount.Vec]int
 	total     amount.Vec
+	// least is what every worker offers.
+	least amount.Vec
+	// freeTotal is the free capacity of the workers in the grids.
+	freeTotal amount.Vec
 	plain     grid
 	// accelerated holds the workers with accelerators.
 	accelerated grid
@@ -58,7 +65,9 @@
 	spare       []*task
 	preempting  []*task
 	quarantined []*worker
-	drops       []Drop
+	// slowed are the workers with throttled tasks.
+	slowed []*worker
+	drops  []Drop
 
 	claims   []claim
 	reserved []*job
@@ -86,7 +95,8 @@
 		cfg: cfg, rng: cfg.source(),
 		workers: map[string]*worker{}, racks: map[string][]*worker{}, shapes: map[amount.Vec]int{},
 		teams: map[string]*team{}, jobs: map[string]*job{}, tasks: map[string]*task{},
-		held: map[string]*hold{}, kinds: map[kindKey]*estimate{},
+		roomy: make([]*worker, 0, maxRoomy),
+		held:  map[string]*hold{}, kinds: map[kindKey]*estimate{},
 	}
 	s.heaps = [2]*teamHeap{{which: 0}, {which: 1}}
 	return s
@@ -114,6 +124,18 @@
 	s.version++
 }
 
+// Free returns what is not set aside on the workers that receive work.
+func (s *State) Free() amount.Vec { return s.freeTotal }
+
+// Size returns what is set aside for a running task.
+func (s *State) Size(task string) (amount.Vec, bool) {
+	t := s.tasks[task]
+	if t == nil {
+		return amount.Vec{}, false
+	}
+	return t.size, true
+}
+
 // Len returns the number of jobs with tasks that wait.
 func (s *State) Len() int { return s.waiting }
 
@@ -137,7 +159,9 @@
 
 	running  int
 	finished int
-	tasks    *task
+	// away are the members of a gang that run on other shards.
+	away  map[int]bool
+	tasks *task
 	// home is where the members of a service ran, so that they restart there.
 	home map[int]home
 
@@ -293,6 +317,7 @@
 	if j == nil || j.cancelled {
 		return false
 	}
+	clear(j.away)
 	s.abandon(j)
 	if j.running > 0 {
 		s.stops = append(s.stops, j)
@@ -315,7 +340,7 @@
 
 // forget deletes the record of a job with nothing left.
 func (s *State) forget(j *job) {
-	if j.running == 0 && (j.cancelled || j.foreign || !j.waits) && s.jobs[j.spec.id] == j {
+	if j.running+len(j.away) == 0 && (j.cancelled || j.foreign || !j.waits) && s.jobs[j.spec.id] == j {
 		delete(s.jobs, j.spec.id)
 	}
 }
--- a/entry/place/tasks.go
+++ b/entry/place/tasks.go
@@ -42,6 +42,9 @@
 	how       How
 	by        clock.Mono
 	throttled bool
+	// cap is the processors that a throttle allows.
+	cap       int64
+	reports   int
 	probation bool
 }
 
@@ -160,7 +163,7 @@
 }
 
 // Usage takes a report of what a task uses. What is set aside never falls
-// below it.
+// below it, and falls to the peak with a margin after settledReports reports.
 func (s *State) Usage(id string, used amount.Vec, now clock.Mono) {
 	s.advance(now)
 	t := s.tasks[id]
@@ -168,21 +171,51 @@
 		return
 	}
 	t.peak = t.peak.Max(used)
-	if t.throttled && used.CPUMilli() > t.size.CPUMilli() {
-		// The throttle is not in effect yet; overload or a claim escalates it.
-		used = amount.New(t.size.CPUMilli(), used.MemoryMiB(), used.Accelerators(), used.Requests())
+	if t.reports++; t.reports == settledReports {
+		s.learnSize(t)
 	}
 	size := t.size.Max(used)
-	if t.how == HowThrottle && !t.throttled {
-		size = s.confirmThrottle(t, used)
+	switch {
+	case t.how == HowThrottle && used.CPUMilli() <= t.cap:
+		s.throttled(t)
+		size = withCPU(size, t.cap)
+	case t.throttled:
+		// Usage above the cap means that the throttle is not in effect yet.
+		size = withCPU(size, t.cap)
+	case t.reports >= settledReports && t.how == "":
+		size = s.settled(t, used)
+	}
+	if size != t.size {
+		s.resize(t, size)
 	}
-	if size == t.size {
-		return
-	}
-	growth := size.Sub(t.size)
+}
+
+// settledReports is the number of reports after which a peak stands for what
+// the task uses.
+const settledReports = 5
+
+func withCPU(v amount.Vec, cpu int64) amount.Vec {
+	return amount.New(cpu, v.MemoryMiB(), v.Accelerators(), v.Requests())
+}
+
+// settled returns what stays set aside for a task whose peak is known. Small
+// changes are left, since each moves the worker in the index.
+func (s *State) settled(t *task, used amount.Vec) amount.Vec {
+	want := amount.New(max(minCPU, s.margin(t.peak.CPUMilli())), max(minMemory, s.margin(t.peak.MemoryMiB())),
+		t.size.Accelerators(), t.size.Requests())
+	want = want.Min(t.size).Max(used)
+	if 10*(t.size.CPUMilli()-want.CPUMilli()) < t.size.CPUMilli() && 10*(t.size.MemoryMiB()-want.MemoryMiB()) < t.size.MemoryMiB() {
+		return t.size.Max(used)
+	}
+	return want
+}
+
+// resize changes what is set aside for a running task.
+func (s *State) resize(t *task, size amount.Vec) {
+	change := size.Sub(t.size)
 	t.size = size
-	t.worker.used = t.worker.used.Add(growth)
-	s.charge(t.job.team, growth, amount.Vec{})
+	t.worker.used = t.worker.used.Add(change)
+	s.charge(t.job.team, change, amount.Vec{})
 	if more := size.Sub(t.charged).Positive(); !more.IsZero() && s.cfg.Limiter.Reserve(t.job.team.name, more) {
 		t.charged = t.charged.Add(more)
 	}
@@ -201,26 +234,68 @@
 	s.unlink(t)
 	s.judge(t, outcome)
 	s.after(t, outcome)
-	s.recount(j)
-	s.enqueue(j)
-	s.forget(j)
+	s.requeue(j)
 	s.roomier(w)
 	s.forgetIfEmpty(w)
 	s.spare = append(s.spare, t)
 }
 
-// endWaiting marks a waiting member as done, for recovery of partly run jobs.
+// requeue lets members wait again, or forgets the job when none is left.
+func (s *State) requeue(j *job) {
+	if j.restart && j.running+len(j.away) == 0 && !j.cancelled && !j.foreign {
+		j.restart, j.next, j.retry, j.finished = false, 0, nil, 0
+		clear(j.taken)
+	}
+	s.recount(j)
+	s.enqueue(j)
+	s.forget(j)
+}
+
+// endWaiting takes the end of a member that does not run here: one that was
+// done before a recovery, or a gang's member on another shard.
 func (s *State) endWaiting(id string, outcome Outcome) {
 	name, member, ok := SplitTaskID(id)
 	j := s.jobs[name]
-	if !ok || j == nil || outcome != OutcomeDone {
+	if !ok || j == nil {
 		return
 	}
-	before := j.count()
-	s.claimMember(j, member)
-	j.finished += before - j.count()
+	switch {
+	case j.away[member]:
+		delete(j.away, member)
+		if outcome == OutcomeDone {
+			j.finished++
+		} else {
+			s.restartGang(j, outcome)
+		}
+		s.requeue(j)
+	case outcome == OutcomeDone:
+		before := j.count()
+		s.claimMember(j, member)
+		j.finished += before - j.count()
+		s.settle(j)
+		s.forget(j)
+	}
+}
+
+// Elsewhere says that members first, first+1 and so on of a gang start on
+// another shard. Their ends are reported with Ended too.
+func (s *State) Elsewhere(id string, first, n int) {
+	j := s.jobs[id]
+	if j == nil || first < 0 || n < 0 || first+n > j.spec.members {
+		return
+	}
+	if j.away == nil {
+		j.away = map[int]bool{}
+	}
+	for m := first; m < first+n; m++ {
+		before := j.count()
+		if s.claimMember(j, m); j.count() < before {
+			j.away[m] = true
+		}
+	}
+	j.offered = false
 	s.settle(j)
-	s.forget(j)
+	s.enqueue(j)
 }
 
 // unlink returns the room of a task.
@@ -254,6 +329,8 @@
 	j.team.shedding = j.team.shedding.Sub(t.size).Positive()
 	delete(s.tasks, t.id)
 	s.cfg.Limiter.Free(j.team.name, t.charged)
+	j.team.blocked &^= j.team.atLimit
+	s.wake(j.team)
 	s.charge(j.team, amount.Vec{}.Sub(t.size), amount.Vec{})
 }
 
@@ -265,9 +342,8 @@
 		if j.rank != rankService {
 			j.est.run.add(int64(s.now.Sub(t.started)))
 		}
-		if !t.peak.IsZero() {
-			j.est.cpu.add(t.peak.CPUMilli())
-			j.est.mem.add(t.peak.MemoryMiB())
+		if t.reports > 0 && t.reports != settledReports {
+			s.learnSize(t)
 		}
 		w.streak, w.proven = w.streak[:0], true
 		if w.probation {
@@ -289,11 +365,6 @@
 		j.finished++
 		return
 	}
-	if j.spec.class == policy.ClassGang && j.running > 0 && !j.restart && outcome != OutcomeRefused {
-		// The other members cannot go on without this one.
-		j.restart = true
-		s.stops = append(s.stops, j)
-	}
 	if outcome == OutcomeFailed && len(j.failedOn) >= failuresPerJob {
 		s.end(j, rcode.JobFailed)
 		return
@@ -306,9 +377,27 @@
 		s.end(j, code)
 		return
 	}
+	if j.spec.class == policy.ClassGang {
+		s.restartGang(j, outcome)
+		return
+	}
 	s.retry(t, outcome)
 }
 
+// restartGang has a gang start over as a whole once its other members have
+// stopped, since these cannot go on without the one that ended.
+func (s *State) restartGang(j *job, outcome Outcome) {
+	if outcome == OutcomeFailed || outcome == OutcomeRefused {
+		j.fails++
+		j.nextTry = s.now.Add(s.cfg.RetryBase << min(j.fails-1, 6))
+		s.wakeBy(j.nextTry)
+	}
+	if !j.restart && j.running > 0 {
+		s.stops = append(s.stops, j)
+	}
+	j.restart = true
+}
+
 // end drops a job and stops what still runs of it.
 func (s *State) end(j *job, code rcode.Code) {
 	s.exonerate(j)
--- a/entry/place/worker.go
+++ b/entry/place/worker.go
@@ -44,6 +44,8 @@
 	// overBy is when an overloaded worker's next harder means is due.
 	overBy clock.Mono
 
+	// counted is the part of State.freeTotal that is this worker's.
+	counted  amount.Vec
 	grid     *grid
 	row, col uint8
 	pos      int
@@ -64,7 +66,11 @@
 	until     clock.Mono
 	backoff   time.Duration
 	probation bool
-	// throttled counts throttled tasks.
+	// fresh is set while the worker is in State.roomy.
+	fresh bool
+	// throttled counts throttled tasks; slow is set while the worker is in
+	// State.slowed.
+	slow      bool
 	throttled int
 }
 
@@ -184,7 +190,17 @@
 func (s *State) unindex(w *worker) {
 	if w.grid != nil {
 		w.grid.remove(w)
+		if s.plain.n == 0 {
+			s.frontier.n = 0
+			s.version++
+		}
 	}
+	s.count(w, amount.Vec{})
+}
+
+func (s *State) count(w *worker, free amount.Vec) {
+	s.freeTotal = s.freeTotal.Sub(w.counted).Add(free)
+	w.counted = free
 }
 
 // refit brings the index in line after used, capacity or usability changed and
@@ -205,13 +221,20 @@
 	} else {
 		w.grid.move(w)
 	}
+	s.count(w, w.free())
 }
 
 // roomier notes that w may now take work that it could not take before.
 func (s *State) roomier(w *worker) {
 	s.refit(w)
-	if w.usable() {
-		s.frontier.freed(w.free())
+	if !w.usable() {
+		return
+	}
+	s.frontier.freed(w.free())
+	if !w.fresh && len(s.roomy) < cap(s.roomy) {
+		w.fresh = true
+		s.roomy = append(s.roomy, w)
+	} else if !w.fresh {
 		s.version++
 	}
 }
@@ -228,6 +251,10 @@
 	} else {
 		s.total = s.total.Sub(capacity)
 	}
+	s.least = s.plain.top.Max(capacity)
+	for shape := range s.shapes {
+		s.least = s.least.Min(shape)
+	}
 	s.frontier.n = 0
 	s.reshare, s.version = true, s.version+1
 }
@@ -270,10 +297,13 @@
 	if w.probation && (len(w.tasks) > 0 || len(q.job.failedOn) > 0 || q.job.spec.class == policy.ClassGang) {
 		return false
 	}
+	if w.throttled > 0 && q.job.rank != rankUrgent {
+		return false
+	}
 	if slices.Contains(q.job.failedOn, w.id) {
 		return false
 	}
-	if !keepsAccelerators(w, q.size) {
+	if !s.keepsAccelerators(w, w.free(), q.size) {
 		return false
 	}
 	if w.keeper == nil || w.keeper == q.job || q.job.rank == rankUrgent || q.end <= w.keptAt {
@@ -286,15 +316,21 @@
 	return false
 }
 
+// keptPart is the part of the processors and memory of an accelerator that is
+// kept with it while it is free. With all kept, such workers would be of no use
+// to other work even when they are idle.
+const keptPart = 0.5
+
 // keepsAccelerators reports whether the accelerators that stay free keep their
-// part of the worker's processors and memory.
-func keepsAccelerators(w *worker, size amount.Vec) bool {
+// part of the worker when size is taken from free. Where there are no other
+// workers nothing is kept.
+func (s *State) keepsAccelerators(w *worker, free, size amount.Vec) bool {
 	all := w.capacity.Accelerators()
-	if all == 0 || size.Accelerators() > 0 {
+	if all == 0 || size.Accelerators() > 0 || s.plain.n == 0 {
 		return true
 	}
-	left := w.free().Sub(size)
-	part := ratio(max(0, left.Accelerators()), all)
+	left := free.Sub(size)
+	part := keptPart * ratio(max(0, left.Accelerators()), all)
 	return float64(left.CPUMilli()) >= part*float64(w.capacity.CPUMilli()) &&
 		float64(left.MemoryMiB()) >= part*float64(w.capacity.MemoryMiB())
 }
