Remove the trial of the reference's team order

Cause: the trial is decided, see docs/decisions/placement-ordering.md.

Conclusion: weighted dominant share is the only order.

--- a/entry/place/config.go
+++ b/entry/place/config.go
@@ -70,9 +70,6 @@
 	// MaxKinds bounds the estimates kept, MaxMembers the tasks of a job,
 	// MaxReserved the reservations at once.
 	MaxKinds, MaxMembers, MaxReserved int
-
-	// teamKey replaces the order of teams in comparisons of orderings.
-	teamKey func(s *State, t *team) float64
 }
 
 type unlimited struct{}
@@ -112,9 +109,6 @@
 	orInt(&c.MaxKinds, DefaultMaxKinds)
 	orInt(&c.MaxMembers, DefaultMaxMembers)
 	orInt(&c.MaxReserved, DefaultMaxReserved)
-	if c.teamKey == nil {
-		c.teamKey = dominantShare
-	}
 }
 
 // Check returns all faults of the settings.
--- a/entry/place/queue.go
+++ b/entry/place/queue.go
@@ -166,7 +166,7 @@
 
 // dominantShare is the largest part of any resource that the team runs or has
 // reserved, by its weight.
-func dominantShare(s *State, t *team) float64 {
+func (s *State) dominantShare(t *team) float64 {
 	v := t.used.Add(t.reserved)
 	return max(ratio(v.CPUMilli(), s.total.CPUMilli()), ratio(v.MemoryMiB(), s.total.MemoryMiB()),
 		ratio(v.Accelerators(), s.total.Accelerators())) / t.weight
@@ -175,7 +175,7 @@
 // charge changes what a team runs and its place in the order.
 func (s *State) charge(t *team, used, reserved amount.Vec) {
 	t.used, t.reserved = t.used.Add(used), t.reserved.Add(reserved)
-	t.share = s.cfg.teamKey(s, t)
+	t.share = s.dominantShare(t)
 	for i, h := range s.heaps {
 		if t.at[i] >= 0 {
 			heap.Fix(h, t.at[i])
@@ -187,7 +187,7 @@
 func (s *State) reorder() {
 	s.reshare = false
 	for _, t := range s.teamOrder {
-		t.share = s.cfg.teamKey(s, t)
+		t.share = s.dominantShare(t)
 	}
 	for _, h := range s.heaps {
 		heap.Init(h)
