--- a/entry/place/worker.go
+++ b/entry/place/worker.go
@@ -41,9 +41,14 @@
 	tasks []*task
 
 	ready, gone, overloaded bool
+	// listed is set while the worker is in State.overloaded, pressed once its
+	// tasks were throttled for the present overload.
+	listed, pressed bool
 	// overBy is when an overloaded worker's next harder means is due.
 	overBy clock.Mono
 
+	// counted is the part of State.freeTotal that is this worker's.
+	counted  amount.Vec
 	grid     *grid
 	row, col uint8
 	pos      int
@@ -64,7 +69,11 @@
 	until     clock.Mono
 	backoff   time.Duration
 	probation bool
-	// throttled counts throttled tasks.
+	// fresh is set while the worker is in State.roomy.
+	fresh bool
+	// throttled counts throttled tasks; slow is set while the worker is in
+	// State.slowed.
+	slow      bool
 	throttled int
 }
 
@@ -184,15 +193,25 @@
 func (s *State) unindex(w *worker) {
 	if w.grid != nil {
 		w.grid.remove(w)
+		if s.plain.n == 0 {
+			s.frontier.n = 0
+			s.version++
+		}
 	}
+	s.count(w, amount.Vec{})
+}
+
+func (s *State) count(w *worker, free amount.Vec) {
+	s.freeTotal = s.freeTotal.Sub(w.counted).Add(free)
+	w.counted = free
 }
 
 // refit brings the index in line after used, capacity or usability changed and
 // wakes waiting work when the worker has more room.
 func (s *State) refit(w *worker) {
 	over := !w.used.Fits(w.capacity)
-	if over && !w.overloaded {
-		w.overBy = s.now
+	if over && !w.listed {
+		w.listed, w.overBy = true, s.now
 		s.overloaded = append(s.overloaded, w)
 	}
 	w.overloaded = over
@@ -205,13 +224,20 @@
 	} else {
 		w.grid.move(w)
 	}
+	s.count(w, w.free())
 }
 
 // roomier notes that w may now take work that it could not take before.
 func (s *State) roomier(w *worker) {
 	s.refit(w)
-	if w.usable() {
-		s.frontier.freed(w.free())
+	if !w.usable() {
+		return
+	}
+	s.frontier.freed(w.free())
+	if !w.fresh && len(s.roomy) < cap(s.roomy) {
+		w.fresh = true
+		s.roomy = append(s.roomy, w)
+	} else if !w.fresh {
 		s.version++
 	}
 }
@@ -228,6 +254,10 @@
 	} else {
 		s.total = s.total.Sub(capacity)
 	}
+	s.least = s.plain.top.Max(capacity)
+	for shape := range s.shapes {
+		s.least = s.least.Min(shape)
+	}
 	s.frontier.n = 0
 	s.reshare, s.version = true, s.version+1
 }
@@ -270,10 +300,13 @@
 	if w.probation && (len(w.tasks) > 0 || len(q.job.failedOn) > 0 || q.job.spec.class == policy.ClassGang) {
 		return false
 	}
+	if w.throttled > 0 && q.job.rank != rankUrgent {
+		return false
+	}
 	if slices.Contains(q.job.failedOn, w.id) {
 		return false
 	}
-	if !keepsAccelerators(w, q.size) {
+	if !s.keepsAccelerators(w, w.free(), q.size) {
 		return false
 	}
 	if w.keeper == nil || w.keeper == q.job || q.job.rank == rankUrgent || q.end <= w.keptAt {
@@ -286,15 +319,21 @@
 	return false
 }
 
+// keptPart is the part of the processors and memory of an accelerator that is
+// kept with it while it is free. With all kept, such workers would be of no use
+// to other work even when they are idle.
+const keptPart = 0.5
+
 // keepsAccelerators reports whether the accelerators that stay free keep their
-// part of the worker's processors and memory.
-func keepsAccelerators(w *worker, size amount.Vec) bool {
+// part of the worker when size is taken from free. Where there are no other
+// workers nothing is kept.
+func (s *State) keepsAccelerators(w *worker, free, size amount.Vec) bool {
 	all := w.capacity.Accelerators()
-	if all == 0 || size.Accelerators() > 0 {
+	if all == 0 || size.Accelerators() > 0 || s.plain.n == 0 {
 		return true
 	}
-	left := w.free().Sub(size)
-	part := ratio(max(0, left.Accelerators()), all)
+	left := free.Sub(size)
+	part := keptPart * ratio(max(0, left.Accelerators()), all)
 	return float64(left.CPUMilli()) >= part*float64(w.capacity.CPUMilli()) &&
 		float64(left.MemoryMiB()) >= part*float64(w.capacity.MemoryMiB())
 }
@@ -309,14 +348,3 @@
 	}
 	return free
 }
-
-// Free returns the free capacity of all workers together.
-func (s *State) Free() amount.Vec {
-	var free amount.Vec
-	for _, w := range s.order {
-		if w.ready && w.until == 0 {
-			free = free.Add(w.free().Positive())
-		}
-	}
-	return free
-}
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -458,6 +458,7 @@
 	}
 	return 0
 }
+
 // Waiting returns the number of waiting requests.
 func (s Stats) Waiting() int {
 	n := 0
