Ask for no more allotment ahead than an even part

Cause: with 8 shards and a limit of 20 requests, two shards held the whole limit idle and requests on the others waited up to their deadline of 10 s. Change: a demand ahead of need is bounded by half an even part of the limit.

--- a/entry/cell/gate.go
+++ b/entry/cell/gate.go
@@ -21,8 +21,8 @@
 
 func newLedger(c *Cell) *ledger { return &ledger{c: c, book: quota.NewLedger()} }
 
-// wantAhead is how many times the amount that did not fit is asked for, so that
-// a burst does not need one transfer for each start.
+// wantAhead is how many times the amount that did not fit is asked for at most, so
+// that a burst does not need one transfer for each start.
 const wantAhead = 8
 
 // Reserve implements place.Limiter. Before all workers have reported it is not
@@ -36,17 +36,25 @@
 
 func (l *ledger) take(team string, v amount.Vec) bool {
 	if !l.book.Reserve(team, v) {
-		want := v
-		for range wantAhead - 1 {
-			want = want.Add(v)
-		}
-		l.c.mov.Want(team, want)
+		l.c.mov.Want(team, l.ahead(team, v))
 		return false
 	}
 	l.book.Start(team, v)
 	return true
 }
 
+// ahead returns how much to ask for when v did not fit: some starts more, but not
+// beyond half an even part of the limit, since what one shard holds idle the
+// others lack. With 8 starts ahead of a limit of 20 requests, two shards held
+// all of it and requests on the others waited until their deadline.
+func (l *ledger) ahead(team string, v amount.Vec) amount.Vec {
+	want := v
+	for range wantAhead - 1 {
+		want = want.Add(v)
+	}
+	return want.Min(l.c.mov.Floor(team)).Max(v)
+}
+
 // Free implements place.Limiter.
 func (l *ledger) Free(team string, v amount.Vec) { l.book.Stop(team, v) }
 
--- a/entry/quota/mover.go
+++ b/entry/quota/mover.go
@@ -419,12 +419,17 @@
 	return amount.New(limit.CPUMilli()/n, limit.MemoryMiB()/n, limit.Accelerators()/n, limit.Requests()/n)
 }
 
-// WantFloor asks for the part that stays with the shard while it is idle.
-func (m *Mover) WantFloor(team string) {
+// Floor returns the part of a team's limit that stays with the shard while it is
+// idle.
+func (m *Mover) Floor(team string) amount.Vec {
 	m.mu.Lock()
-	limit := m.line(team).limit
-	m.mu.Unlock()
-	if v := m.floor(limit); !v.IsZero() {
+	defer m.mu.Unlock()
+	return m.floor(m.line(team).limit)
+}
+
+// WantFloor asks for that part.
+func (m *Mover) WantFloor(team string) {
+	if v := m.Floor(team); !v.IsZero() {
 		m.Want(team, v)
 	}
 }
