Close gaps that broken copies of limctl and policy showed

Cause: 49 trial changes that each break one behaviour were run against the tests on a scratch copy. Four survived at first: unbounded decompression, a 409 for bytes that are published already, a change sent with too few approvals, a failed connection taken for a lost reply. The fault of a wrong type named no index. Change: tests for these four; a test of six operators who revoke keys at the same moment; Unpack takes the size from the gzip trailer as a bounded hint; faults of a wrong type name the whole path and the JSON form expected. Conclusion: the settled-reply rules and the bounds are held by tests.

--- a/core/policy/check_test.go
+++ b/core/policy/check_test.go
@@ -40,11 +40,15 @@
 			},
 		},
 		"field left out": {replaced(t, "  \"author\": \"ana\",\n", ""), []string{"line 1: author: must name who wrote the bundle"}},
-		"wrong type":     {replaced(t, `"share": 3`, `"share": "3"`), []string{"line 9: teams.share: is a string and must be a int64"}},
+		"wrong type":     {replaced(t, `"share": 3`, `"share": "3"`), []string{"line 9: teams[0].share: string where whole number belongs"}},
 		"author for the terminal": {
 			replaced(t, `"author": "ana"`, `"author": "ana\u001b[2J"`), []string{"line 3: author: must not hold control characters"},
 		},
-		"field twice": {replaced(t, `"share": 3`, `"share": 3, "share": 30`), []string{"line 9: teams[0].share: field stands twice"}},
+		"wrong type in an array": {
+			replaced(t, `["school"]`, `["school", 7]`), []string{"line 16: queues[1].teams[1]: number where string belongs"},
+		},
+		"not an object": {[]byte("[]"), []string{"line 1: document: array where object belongs"}},
+		"field twice":   {replaced(t, `"share": 3`, `"share": 3, "share": 30`), []string{"line 9: teams[0].share: field stands twice"}},
 		"field in another case": {
 			replaced(t, `"share": 3`, `"Share": 3`), []string{"line 9: teams[0].Share: unknown field"},
 		},
--- a/core/policy/decode.go
+++ b/core/policy/decode.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 )
 
 // Decode reads a document, packed or plain, and refuses unknown fields, since a
@@ -52,8 +53,8 @@
 	var wrong *json.UnmarshalTypeError
 	switch {
 	case errors.As(err, &wrong):
-		text := fmt.Sprintf("is a %s and must be a %s", wrong.Value, wrong.Type.Kind())
-		faults = append(faults, Fault{field: fieldOr(wrong.Field), text: text, line: lineAt(plain, int(wrong.Offset))})
+		text := fmt.Sprintf("%s where %s belongs", wrong.Value, jsonKind(wrong.Type))
+		faults = append(faults, Fault{field: pathAt(plain, int(wrong.Offset)), text: text, line: lineAt(plain, int(wrong.Offset))})
 	case err != nil:
 		faults = append(faults, Fault{field: "document", text: err.Error()})
 	}
@@ -63,9 +64,18 @@
 	return &d, nil
 }
 
-func fieldOr(field string) string {
-	if field == "" {
-		return "document"
+// jsonKind names the JSON form of a field for people who do not write Go.
+func jsonKind(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.Struct:
+		return "object"
+	case reflect.Slice:
+		return "array"
+	case reflect.Bool:
+		return "boolean"
+	case reflect.String:
+		return "string"
+	default:
+		return "whole number"
 	}
-	return field
 }
--- a/core/policy/pack.go
+++ b/core/policy/pack.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"crypto/ed25519"
+	"encoding/binary"
 	"encoding/json"
 	"io"
 
@@ -62,10 +63,11 @@
 		return nil, rcode.Wrap(err, rcode.BundleInvalid, "policy.Unpack")
 	}
 	zr.Multistream(false)
-	doc, err := io.ReadAll(io.LimitReader(zr, MaxDocument+1))
-	if err != nil {
+	buf := bytes.NewBuffer(make([]byte, 0, sizeHint(packed)))
+	if _, err := buf.ReadFrom(io.LimitReader(zr, MaxDocument+1)); err != nil {
 		return nil, rcode.Wrap(err, rcode.BundleInvalid, "policy.Unpack")
 	}
+	doc := buf.Bytes()
 	if len(doc) > MaxDocument {
 		return nil, rcode.New(rcode.BundleInvalid, "policy.Unpack: the document is larger than %d bytes", MaxDocument)
 	}
@@ -75,6 +77,17 @@
 	return doc, nil
 }
 
+// sizeHint returns the room for the plain document. gzip ends with its size (RFC
+// 1952), which may be wrong in a damaged one and is therefore only a hint.
+func sizeHint(packed []byte) int {
+	if len(packed) < 4 {
+		return bytes.MinRead
+	}
+	size := binary.LittleEndian.Uint32(packed[len(packed)-4:])
+	// A buffer that has less than MinRead left at the end of the data grows.
+	return int(min(size, MaxDocument)) + 2*bytes.MinRead
+}
+
 // NewSigned packs a document; it has no signature yet.
 func NewSigned(doc []byte) (*Signed, error) {
 	packed, err := Pack(doc)
--- a/core/policy/policy.go
+++ b/core/policy/policy.go
@@ -10,7 +10,15 @@
 //	q, err := b.Queue("reprints")
 //	team, key, err := b.Authorize(q, secret)
 //
-// A Bundle does not change once compiled; a new version is a new Bundle.
+// A Bundle does not change once compiled; a new version is a new Bundle. Operators
+// see what it changes, and may publish it only when it may follow the old one:
+//
+//	for _, c := range policy.Diff(old, b) { ... }
+//	err := policy.CheckSuccessor(old, b)
+//
+// Inspect returns all faults of a document with field and line. Large documents
+// are compressed inside Signed, see Pack. docs/bundle.schema.json describes the
+// document.
 package policy
 
 import (
--- a/core/policy/scan.go
+++ b/core/policy/scan.go
@@ -83,6 +83,20 @@
 	}
 }
 
+// pathAt returns the path of the value that starts last before an offset. The
+// errors of encoding/json have no indexes of arrays.
+func pathAt(plain []byte, off int) string {
+	s := &scanner{raw: plain, offsets: map[string]int{}}
+	s.value(documentShape)
+	path, start := "document", 0
+	for p, o := range s.offsets {
+		if p != "" && o >= start && o < off {
+			path, start = p, o
+		}
+	}
+	return path
+}
+
 func lineAt(raw []byte, off int) int {
 	return 1 + bytes.Count(raw[:min(max(off, 0), len(raw))], []byte("\n"))
 }
--- a/core/policy/size_test.go
+++ b/core/policy/size_test.go
@@ -1,13 +1,17 @@
 package policy_test
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
 	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
 )
 
 // The planned size of a bundle.
@@ -72,6 +76,36 @@
 	}
 }
 
+// Guards against a small compressed document that takes a VM's memory.
+func TestUnpackMemory(t *testing.T) {
+	const unpacked = 4 * policy.MaxDocument
+	var buf bytes.Buffer
+	zw, err := gzip.NewWriterLevel(&buf, gzip.BestSpeed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range unpacked / (1 << 20) {
+		if _, err := zw.Write(make([]byte, 1<<20)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := zw.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err = policy.Unpack(buf.Bytes())
+	runtime.ReadMemStats(&after)
+	if !rcode.Is(err, rcode.BundleInvalid) {
+		t.Errorf("Unpack = %v", err)
+	}
+	used := after.TotalAlloc - before.TotalAlloc
+	t.Logf("%d bytes allocated", used)
+	if used > 2*policy.MaxDocument {
+		t.Errorf("Unpack of %d bytes allocates %d bytes", buf.Len(), used)
+	}
+}
+
 // BenchmarkOpen verifies, decompresses, checks and compiles a bundle of the
 // planned size, as a ratio to decoding its plain JSON in the same run.
 func BenchmarkOpen(b *testing.B) {
--- a/limctl/fake_test.go
+++ b/limctl/fake_test.go
@@ -26,6 +26,8 @@
 	versions  [][]byte
 	bundles   []*policy.Bundle
 	polls     int
+	// staleReads is how many reads of the current version show the one before it.
+	staleReads int
 	// keyDir is where a script makes its own approvers, all of whom must sign.
 	keyDir string
 	// stuck holds data centres that never confirm.
@@ -190,6 +192,10 @@
 	n, err := strconv.Atoi(version)
 	if version == "current" {
 		n, err = len(c.versions), nil
+		if c.staleReads > 0 {
+			c.staleReads--
+			n--
+		}
 	}
 	if err != nil || n < 1 || n > len(c.versions) {
 		refuse(w, apiError{Code: rcode.NotFound, Message: "no such version"})
--- a/limctl/roll_test.go
+++ b/limctl/roll_test.go
@@ -1,15 +1,19 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"os"
+	"sort"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"limpethitch.example/core/policy"
 	"limpethitch.example/core/rcode"
 )
 
@@ -83,6 +87,24 @@
 		"reply lost after it took effect": {
 			func(h *harness) { h.vms[0].hook = lost(true, 1) }, exitOK, "is in force", 2, []int{1, 0},
 		},
+		"reply lost and reads lag": {
+			func(h *harness) {
+				h.vms[0].hook = func(r *http.Request, serve func()) bool {
+					if r.Method == http.MethodPost {
+						serve()
+						h.cell.staleReads = 2
+					}
+					return r.Method == http.MethodPost
+				}
+			},
+			exitOK, "is in force", 2,
+			[]int{1, 1},
+		},
+		"first VM down and second shuts down": {
+			func(h *harness) { h.vms[0].Close(); h.vms[1].refuses = rcode.Draining },
+			exitUnavailable, "LH2009", 1,
+			[]int{0, 1},
+		},
 		"request lost": {
 			func(h *harness) { h.vms[0].hook = lost(false, 1) }, exitOK, "is in force", 2, []int{1, 1},
 		},
@@ -249,6 +271,41 @@
 	}
 }
 
+// Guards against changes that are lost, or made twice, when many operators make
+// them at the same moment.
+func TestManyOperators(t *testing.T) {
+	const operators = 6
+	h := newHarness(t, 2)
+	for i := range operators {
+		h.must(exitOK, "key", fmt.Sprintf("window-%d", i), "--into", "bundle.json", "--team", "window")
+	}
+	h.first()
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() {
+			args := []string{"revoke", fmt.Sprintf("window-%d", i), "--key-file", "ana.key", "--rebase", "20"}
+			if exit, out, errs := h.run(args...); exit != exitOK {
+				t.Errorf("operator %d: exit %d\n%s%s", i, exit, out, errs)
+			}
+		})
+	}
+	wg.Wait()
+	var got []string
+	for i := range len(h.cell.bundles) - 1 {
+		for _, c := range policy.Diff(h.cell.bundles[i], h.cell.bundles[i+1]) {
+			got = append(got, c.String())
+		}
+	}
+	sort.Strings(got)
+	var want []string
+	for i := range operators {
+		want = append(want, fmt.Sprintf("key window-%d: revoked for team window", i))
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Errorf("changes of all versions:\n%s", d)
+	}
+}
+
 // Guards against signing a change of a bundle that a process on the network made
 // up.
 func TestChangeOfForgedBundle(t *testing.T) {
@@ -274,11 +331,15 @@
 // first signature.
 func TestSecondApprover(t *testing.T) {
 	h := newHarness(t, 1)
-	h.first()
+	h.must(exitOK, "sign", "bundle.json", "--key-file", "ana.key,ben.key", "--out", "signed.json")
+	h.must(exitOK, "roll", "signed.json")
 	t.Setenv("LIMCTL_APPROVALS", "2")
 	if _, errs := h.must(exitUnsigned, "revoke", "school-1", "--key-file", "ana.key"); !strings.Contains(errs, "1 of 2 approvals") {
 		t.Error(errs)
 	}
+	if d := cmp.Diff(1, h.vms[0].posts()); d != "" {
+		t.Errorf("publications:\n%s", d)
+	}
 	t.Setenv("LIMCTL_APPROVALS", "1")
 	out, _ := h.must(exitOK, "revoke", "school-1", "--key-file", "ana.key", "--save", "one.json")
 	if !strings.Contains(out, "key school-1: revoked for team school") {
