Take an adopted job as its record describes it

Cause: after a handover a job could keep the shape of its first adopted task (a batch with too few members), since workers' lists may arrive before the job records; a gang of the demo then waited without end. Change: Add gives an adopted job its full description.

--- a/demo/report.go
+++ b/demo/report.go
@@ -223,7 +223,7 @@
 	for _, w := range r.workers {
 		k.cases += len(w.Starts)
 		if !w.Peak.Fits(w.Capacity) {
-			k.fail("worker %s held %v of %v", w.ID, w.Peak, w.Capacity)
+			k.fail("worker %s held %v of %v: %s", w.ID, w.Peak, w.Capacity, fullest(w))
 		}
 	}
 	for _, b := range r.backends {
@@ -236,6 +236,29 @@
 	return k
 }
 
+// fullest lists what a worker ran when it held most.
+func fullest(w wrkr.Stats) string {
+	running, most := map[string]step{}, ""
+	var now, peak int64
+	for _, s := range steps(&records{workers: []wrkr.Stats{w}}) {
+		if !s.start {
+			now -= s.rec.Size.CPUMilli()
+			delete(running, s.rec.ID)
+			continue
+		}
+		now += s.rec.Size.CPUMilli()
+		running[s.rec.ID] = s
+		if now <= peak {
+			continue
+		}
+		peak, most = now, ""
+		for id, r := range running {
+			most += fmt.Sprintf(" %s attempt %x from %d to %d: %dm;", id, r.rec.Attempt, r.atMS, r.rec.EndedUnixMS, r.rec.Size.CPUMilli())
+		}
+	}
+	return most
+}
+
 func twice(r *records) *check {
 	k := &check{id: "I2", text: "no task runs in two places"}
 	running := map[string]int{}
--- a/entry/place/place_test.go
+++ b/entry/place/place_test.go
@@ -132,3 +132,28 @@
 		t.Errorf("an expired hold was committed: %v", err)
 	}
 }
+
+// TestOwnAdopted guards against a job that keeps the shape of its first adopted
+// task, with too few members and as a batch, after its record was read.
+func TestOwnAdopted(t *testing.T) {
+	s := place.New(place.Config{Seed: 1})
+	size := amount.New(1_000, 1_000, 0, 0)
+	s.PutWorker(place.NewWorkerSpec("w", "r", amount.New(8_000, 8_000, 0, 0)), 1)
+	s.Ready("w")
+	seen := place.NewJob("j", "a", policy.ClassBatch, 2, size)
+	if err := s.Adopt(place.NewTask(seen, 1, "w", size, 1, 0), 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Add(place.NewJob("j", "a", policy.ClassBatch, 4, size), 2); err != nil {
+		t.Fatal(err)
+	}
+	var got []string
+	for _, d := range s.Decide(3, 100) {
+		if start, ok := d.(place.Start); ok {
+			got = append(got, start.Task())
+		}
+	}
+	if d := cmp.Diff([]string{"j.0", "j.2", "j.3"}, got); d != "" {
+		t.Error(d)
+	}
+}
--- a/entry/place/state.go
+++ b/entry/place/state.go
@@ -242,7 +242,7 @@
 	if j == nil {
 		j = s.record(spec)
 	} else {
-		s.own(j)
+		s.own(j, spec)
 	}
 	s.recount(j)
 	s.enqueue(j)
@@ -264,10 +264,20 @@
 }
 
 // own turns a record made by Adopt into one whose other members wait.
-func (s *State) own(j *job) {
+//
+// The job is taken as spec describes it: a task adopted before the job's record
+// was read only showed its team and size.
+func (s *State) own(j *job, spec Job) {
 	j.foreign, j.next, j.taken = false, 0, map[int]bool{}
+	j.spec, j.est, j.rank = spec, s.estimateOf(spec.team, spec.kind), rankOf(spec.class)
+	if spec.class == policy.ClassService {
+		j.racks, j.home = map[string]int{}, map[int]home{}
+	}
 	for t := j.tasks; t != nil; t = t.sibling {
 		j.taken[t.member] = true
+		if j.racks != nil {
+			j.racks[t.worker.rack]++
+		}
 	}
 }
 
