Report a shard's summary without its lock

Cause: a cell that offers a job to other shards asks for all summaries while it holds its lock; when the VM owned several shards or the cell looked at itself, Summary waited for the same lock. Change: Summary reads what the last round of decisions noted. Conclusion: no cell method that other shards call may take the cell's lock while an offer is being chosen.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -181,6 +181,7 @@
 	recovered atomic.Bool
 	loaded    atomic.Bool
 	frozen    atomic.Bool
+	summary   atomic.Pointer[Summary]
 	poke      chan struct{}
 	wg        sync.WaitGroup
 
@@ -256,6 +257,7 @@
 	pollAt := upkeepAt
 	for {
 		c.decide(ctx)
+		c.summarize()
 		now := c.d.Clock.Now()
 		if now >= upkeepAt {
 			upkeepAt = now.Add(upkeepEvery)
@@ -381,18 +383,28 @@
 // Waiting returns the number of waiting requests and jobs.
 func (s Summary) Waiting() int { return s.waiting }
 
-// Summary returns the shard's free capacity and queue.
+// Summary returns the shard's free capacity and queue as of the last round of
+// decisions. It takes no lock of the cell: heartbeats must not wait for it, and a
+// cell that offers a job asks for the summaries of all shards, its own included.
 func (c *Cell) Summary() Summary {
 	stats := c.slots.Stats()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := Summary{free: c.pl.Free(), slots: stats.Free(), waiting: c.pl.Len() + stats.Waiting()}
+	s := Summary{slots: stats.Free(), waiting: stats.Waiting()}
+	if last := c.summary.Load(); last != nil {
+		s.free, s.waiting = last.free, s.waiting+last.waiting
+	}
 	if c.frozen.Load() || !c.inService() {
 		s.free, s.slots = amount.Vec{}, 0
 	}
 	return s
 }
 
+// summarize notes what Summary returns of placement.
+func (c *Cell) summarize() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.summary.Store(&Summary{free: c.pl.Free(), waiting: c.pl.Len()})
+}
+
 // Load returns the free slots and the queue of requests, without the workers.
 func (c *Cell) Load() Summary {
 	stats := c.slots.Stats()
