Keep bad jobs of one kind from quarantining workers

Cause: a trial with 20 bad jobs of one kind among good work had 7 of 8 workers quarantined and left 14 of the 20 jobs waiting after 200 s. Three different jobs failing in a row blamed the worker, and its quarantine in turn cleared the jobs.

Change: a kind that failed on more than two workers without a success is suspect: its failures no longer count against workers, earlier ones are taken back with the quarantine that rests on them, and its jobs keep away from the workers it failed on for 30 s. The last attempt of a job waits up to 30 s for a worker known to work. Adds a benchmark with a gang that reserves half of the workers.

Bad jobs that each have a kind of their own are not told from bad workers by this rule.

--- a/entry/place/bench_test.go
+++ b/entry/place/bench_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/policy"
 )
 
 func report(b *testing.B, took []time.Duration, starts int) {
@@ -14,6 +15,7 @@
 	b.ReportMetric(float64(starts)/b.Elapsed().Seconds(), "starts/s")
 	b.ReportMetric(float64(took[len(took)*99/100])/1e3, "p99-µs")
 	b.ReportMetric(float64(took[len(took)/2])/1e3, "p50-µs")
+	b.ReportMetric(float64(took[len(took)-1])/1e3, "max-µs")
 }
 
 // BenchmarkChurn ends and starts tasks in a full cell with 10,000 jobs waiting.
@@ -88,3 +90,19 @@
 		runtime.KeepAlive(s)
 	}
 }
+
+// BenchmarkGang churns a full cell while a gang of half of its workers waits
+// for a reservation, the case with the most work in one call.
+func BenchmarkGang(b *testing.B) {
+	for _, n := range []int{600, 4800} {
+		b.Run(workerName(n), func(b *testing.B) {
+			s := newCell(Config{}, n, 8, benchCapacity)
+			gang := NewJob("gang", "team1", policy.ClassGang, n/2, benchCapacity).WithRun(time.Minute).WithRepeatable(true)
+			if err := s.Add(gang, 1); err != nil {
+				b.Fatal(err)
+			}
+			s.jobs["gang"].nextTry = clock.Mono(time.Second)
+			benchChurn(b, s, 10_000, 5*n)
+		})
+	}
+}
--- a/entry/place/decide.go
+++ b/entry/place/decide.go
@@ -97,7 +97,7 @@
 			}
 			return
 		}
-		if j.why == ReasonReservation && s.backfill(t, lane) {
+		if (j.why == ReasonReservation || j.picky()) && s.backfill(t, lane) {
 			return
 		}
 		switch {
@@ -113,8 +113,8 @@
 // backfillTries bounds the jobs tried behind one that a reservation keeps back.
 const backfillTries = 8
 
-// backfill starts a task of a job behind the first of a lane, which ends before
-// the reservation that keeps the first one back.
+// backfill starts a task of a job behind the first of a lane, when that one is
+// kept back by a reservation or by the workers that it failed on.
 func (s *State) backfill(t *team, lane uint8) bool {
 	if len(t.lanes[lane]) < 2 {
 		return false
--- a/entry/place/delay.go
+++ b/entry/place/delay.go
@@ -55,7 +55,7 @@
 		case w.until > s.now:
 			kept = append(kept, w)
 		default:
-			w.until, w.probation = 0, true
+			w.until, w.probation, w.streak = 0, true, w.streak[:0]
 			s.roomier(w)
 		}
 	}
--- a/entry/place/fault_test.go
+++ b/entry/place/fault_test.go
@@ -278,6 +278,35 @@
 	}
 }
 
+// TestManyBadJobs guards against bad jobs of one kind that together have all
+// workers quarantined.
+func TestManyBadJobs(t *testing.T) {
+	c := newCrew(cell(place.Config{Seed: 5}, 8))
+	add(t, c.s, 1, batch("good", 200, quarter).WithKind("good"))
+	for i := range 20 {
+		add(t, c.s, 1, batch(fmt.Sprintf("bad%d", i), 20, quarter).WithKind("bad"))
+	}
+	out := map[string]bool{}
+	for now := clock.Mono(1); now < 200*second; now += second {
+		c.step(now)
+		for _, id := range c.tasks() {
+			if strings.HasPrefix(id, "bad") {
+				c.end(id, place.OutcomeFailed, now)
+			} else if now%(4*second) == 1 {
+				c.end(id, place.OutcomeDone, now)
+			}
+		}
+		for i := range 8 {
+			if w := fmt.Sprintf("w%d", i); c.s.Quarantined(w) {
+				out[w] = true
+			}
+		}
+	}
+	if len(out) > 0 || c.count("drop bad") != 20 || c.s.Len() > 0 {
+		t.Errorf("quarantined %v, %d of 20 dropped, %d wait", out, c.count("drop bad"), c.s.Len())
+	}
+}
+
 // TestQuarantine guards against a worker that fails three different jobs and
 // still receives work, and against a backoff that does not grow.
 func TestQuarantine(t *testing.T) {
--- a/entry/place/learn.go
+++ b/entry/place/learn.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
 )
 
 const (
@@ -70,6 +72,40 @@
 // estimate is what is known of one team's kind of work.
 type estimate struct {
 	cpu, mem, run quantity
+	// failedOn are the workers on which the kind failed since it last succeeded.
+	failedOn []string
+	// avoidBy is until when a suspect kind keeps away from them.
+	avoidBy clock.Mono
+}
+
+// kindFailures is the number of workers whose failures of one kind, without a
+// success between, count against the workers. Three different jobs of a bad kind
+// would otherwise quarantine one worker after the other.
+const kindFailures = 2
+
+// maxAvoided bounds the workers remembered for a kind.
+const maxAvoided = 16
+
+// blame notes a failure and reports whether the kind fails everywhere, so that
+// the failure says nothing about the worker.
+func (e *estimate) blame(worker string, now clock.Mono) bool {
+	if !e.suspect() {
+		e.avoidBy = now.Add(provenWait)
+	}
+	at := slices.Index(e.failedOn, worker)
+	if at < 0 && len(e.failedOn) < maxAvoided {
+		e.failedOn = append(e.failedOn, worker)
+	}
+	return e.suspect() && (at < 0 || at >= kindFailures)
+}
+
+// suspect reports whether the kind failed on many workers and succeeded on none
+// since.
+func (e *estimate) suspect() bool { return len(e.failedOn) > kindFailures }
+
+// avoids reports whether the kind waits for other workers than this one.
+func (e *estimate) avoids(worker string, now clock.Mono) bool {
+	return e.suspect() && now < e.avoidBy && slices.Contains(e.failedOn, worker)
 }
 
 func (s *State) estimateOf(team, kind string) *estimate {
--- a/entry/place/state.go
+++ b/entry/place/state.go
@@ -167,6 +167,8 @@
 
 	failedOn []string
 	fails    int
+	// provenBy is until when the last attempt waits for a proven worker.
+	provenBy clock.Mono
 	racks    map[string]int
 
 	// foreign is set when another owner has the job's record.
@@ -183,7 +185,7 @@
 
 // picky reports whether the job refuses workers that have room, so that its
 // search says nothing about other jobs of the size.
-func (j *job) picky() bool { return len(j.failedOn) > 0 }
+func (j *job) picky() bool { return len(j.failedOn) > 0 || j.est.suspect() }
 
 // pending reports whether a member can be started now.
 func (j *job) pending() bool {
--- a/entry/place/tasks.go
+++ b/entry/place/tasks.go
@@ -346,6 +346,7 @@
 			s.learnSize(t)
 		}
 		w.streak, w.proven = w.streak[:0], true
+		j.est.failedOn = j.est.failedOn[:0]
 		if w.probation {
 			w.probation, w.backoff = false, 0
 		}
@@ -421,6 +422,10 @@
 	s.delayed.push(later{at: s.now.Add(delay), job: j, member: t.member})
 }
 
+// provenWait is how long the last attempt of a job that failed waits for a
+// worker known to work.
+const provenWait = 30 * time.Second
+
 // blame notes a failure on the worker and the job. A failure on a worker under
 // probation says nothing about the job.
 func (s *State) blame(t *task) {
@@ -443,6 +448,14 @@
 	if !slices.Contains(j.failedOn, w.id) && len(j.failedOn) < failuresPerJob {
 		j.failedOn = append(j.failedOn, w.id)
 	}
+	j.provenBy = s.now.Add(provenWait)
+	if j.est.blame(w.id, s.now) {
+		// The kind fails everywhere, which says nothing about these workers.
+		for _, id := range j.est.failedOn {
+			s.acquit(s.workers[id], func(o *job) bool { return o.est == j.est })
+		}
+		return
+	}
 	if !slices.Contains(w.streak, j) {
 		w.streak = append(w.streak, j)
 	}
@@ -460,7 +473,6 @@
 	for _, j := range w.streak {
 		j.failedOn = slices.DeleteFunc(j.failedOn, func(id string) bool { return id == w.id })
 	}
-	w.streak = w.streak[:0]
 	s.quarantined = append(s.quarantined, w)
 	s.unindex(w)
 	s.unreserve(w.keeper)
@@ -469,8 +481,20 @@
 // exonerate clears the workers on which a job failed that fails everywhere.
 func (s *State) exonerate(j *job) {
 	for _, id := range j.failedOn {
-		if w := s.workers[id]; w != nil {
-			w.streak = slices.DeleteFunc(w.streak, func(o *job) bool { return o == j })
-		}
+		s.acquit(s.workers[id], func(o *job) bool { return o == j })
+	}
+}
+
+// acquit takes back failures counted against a worker, and its quarantine when
+// it rests on them.
+func (s *State) acquit(w *worker, bad func(*job) bool) {
+	if w == nil || len(w.streak) == 0 {
+		return
+	}
+	before := len(w.streak)
+	w.streak = slices.DeleteFunc(w.streak, bad)
+	if w.until != 0 && before >= quarantineAfter && len(w.streak) < quarantineAfter {
+		w.until, w.backoff = 0, 0
+		s.roomier(w)
 	}
 }
--- a/entry/place/worker.go
+++ b/entry/place/worker.go
@@ -303,7 +303,10 @@
 	if w.throttled > 0 && q.job.rank != rankUrgent {
 		return false
 	}
-	if slices.Contains(q.job.failedOn, w.id) {
+	if len(q.job.failedOn) == failuresPerJob-1 && s.now < q.job.provenBy && (!w.proven || len(w.streak) > 0) {
+		return false
+	}
+	if slices.Contains(q.job.failedOn, w.id) || q.job.est.avoids(w.id, s.now) {
 		return false
 	}
 	if !s.keepsAccelerators(w, w.free(), q.size) {
