Keep set aside what a worker was told at the start

Change: only a throttle that took effect lowers what is set aside; a throttle to the full size is sent as a resume. Conclusion: packing of later tasks still follows the learned sizes.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -122,6 +122,7 @@
 	confirmedAt  clock.Mono
 	checkpointMS int64
 	how          place.How
+	size         amount.Vec
 }
 
 // runState is how far a start is.
--- a/entry/cell/renew.go
+++ b/entry/cell/renew.go
@@ -143,7 +143,7 @@
 	c.led.book.Adopt(s.Team(), s.Size())
 	r := &run{
 		id: s.ID(), job: job, member: member, worker: n.vm.ID(), class: class, team: s.Team(),
-		state: runConfirmed, confirmedAt: now, checkpointMS: s.CheckpointMS(),
+		state: runConfirmed, confirmedAt: now, checkpointMS: s.CheckpointMS(), size: s.Size(),
 	}
 	c.runs[r.id] = r
 	if s.Lease().After(n.leaseMax) {
--- a/entry/cell/start.go
+++ b/entry/cell/start.go
@@ -72,6 +72,7 @@
 	h.attempts[d.Member()]++
 	r := &run{
 		id: d.Task(), job: d.Job(), member: d.Member(), worker: d.Worker(), class: h.rec.Class, team: h.rec.Team, state: runStarting,
+		size: d.Size(),
 	}
 	c.runs[r.id] = r
 	task := agent.NewTask(r.id, c.epoch<<20|h.attempts[d.Member()], r.job, r.team, d.Size(), time.Time{}).
@@ -242,20 +243,25 @@
 		return
 	}
 	r.how = d.How()
-	addr := n.vm.Addr()
+	addr, full := n.vm.Addr(), d.Size().CPUMilli() >= r.size.CPUMilli()
 	c.d.Log.Info("task asked to make room", zap.String("task", r.id), zap.String("worker", r.worker), zap.String("how", string(d.How())))
 	c.spawn(func() {
 		actx, cancel := context.WithTimeout(ctx, startTimeout)
 		defer cancel()
-		if err := c.act(actx, addr, d); err != nil {
+		if err := c.act(actx, addr, d, full); err != nil {
 			c.d.Log.Warn("worker did not take the order", append(logs.Err(err), zap.String("task", r.id))...)
 		}
 	})
 }
 
-func (c *Cell) act(ctx context.Context, addr string, d place.Preempt) error {
+// act gives the order to the worker. A throttle to the task's full size lifts an
+// earlier one; workers know no steps between.
+func (c *Cell) act(ctx context.Context, addr string, d place.Preempt, full bool) error {
 	switch d.How() {
 	case place.HowThrottle:
+		if full {
+			return c.d.Worker.Resume(ctx, addr, d.Task())
+		}
 		return c.d.Worker.Throttle(ctx, addr, d.Task())
 	case place.HowCheckpoint:
 		return c.d.Worker.Checkpoint(ctx, addr, d.Task())
--- a/entry/place/tasks.go
+++ b/entry/place/tasks.go
@@ -163,7 +163,9 @@
 }
 
 // Usage takes a report of what a task uses. What is set aside never falls
-// below it, and falls to the peak with a margin after settledReports reports.
+// below it, nor, but for a throttled task, below what its worker was told at the
+// start: the sizes told to a worker must fit it, since only they can be checked
+// there. The peak is learned for later tasks of the kind.
 func (s *State) Usage(id string, used amount.Vec, now clock.Mono) {
 	s.advance(now)
 	t := s.tasks[id]
@@ -182,8 +184,6 @@
 	case t.throttled:
 		// Usage above the cap means that the throttle is not in effect yet.
 		size = withCPU(size, t.cap)
-	case t.reports >= settledReports && t.how == "":
-		size = s.settled(t, used)
 	}
 	if size != t.size {
 		s.resize(t, size)
@@ -198,18 +198,6 @@
 	return amount.New(cpu, v.MemoryMiB(), v.Accelerators(), v.Requests())
 }
 
-// settled returns what stays set aside for a task whose peak is known. Small
-// changes are left, since each moves the worker in the index.
-func (s *State) settled(t *task, used amount.Vec) amount.Vec {
-	want := amount.New(max(minCPU, t.peak.CPUMilli()), max(minMemory, s.margin(t.peak.MemoryMiB())),
-		t.size.Accelerators(), t.size.Requests())
-	want = want.Min(t.size).Max(used)
-	if 10*(t.size.CPUMilli()-want.CPUMilli()) < t.size.CPUMilli() && 10*(t.size.MemoryMiB()-want.MemoryMiB()) < t.size.MemoryMiB() {
-		return t.size.Max(used)
-	}
-	return want
-}
-
 // resize changes what is set aside for a running task.
 func (s *State) resize(t *task, size amount.Vec) {
 	change := size.Sub(t.size)
--- a/stand/wrkr/wrkr.go
+++ b/stand/wrkr/wrkr.go
@@ -189,11 +189,18 @@
 	ctx.SetStatusCode(fasthttp.StatusCreated)
 }
 
+// setAside is what the running tasks were started with; a throttled one counts
+// with the processors that it is held to.
 func (w *Worker) setAside() amount.Vec {
 	var sum amount.Vec
 	for _, t := range w.tasks {
-		if t.running() {
+		switch t.state {
+		case StateRunning:
 			sum = sum.Add(t.start.Size)
+		case StateThrottled:
+			s := t.start.Size
+			sum = sum.Add(amount.New(min(s.CPUMilli(), t.use.CPUMilli()), s.MemoryMiB(), s.Accelerators(), 0))
+		case StateDone, StateFailed, StateStopped, StateLapsed:
 		}
 	}
 	return sum
