--- a/entry/owner/faults_test.go
+++ b/entry/owner/faults_test.go
@@ -147,6 +147,17 @@
 			},
 			bound: time.Hour * 2, want: verdict{Epoch: 1, Mode: ModeAlone},
 		},
+		"store down, standby acts past the hard deadline": {
+			faults: func(w *world) {
+				w.down = true
+				w.run(10 * time.Second)
+				w.crash(w.vms[0])
+				w.run(HardDeadline)
+				w.started = nil
+				w.run(time.Minute)
+			},
+			bound: time.Hour * 2, want: verdict{Mode: ModeNone},
+		},
 		"store down, owner and standby die": {
 			faults: func(w *world) {
 				w.down = true
