entry/route: test queues, retries, health, parsers and allocations

Cause: order of service, retry budget, ejection and the parsers of outside input had no tests of their own, and an instance that had been slow got nothing at low load however long ago that was.

--- a/entry/route/export_test.go
+++ b/entry/route/export_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"limpethitch.example/core/clock"
 	"limpethitch.example/core/policy"
 )
 
@@ -41,3 +42,52 @@
 func WithClass(c policy.Class) Option {
 	return func(r *Request) { r.class = c }
 }
+
+// Tree is a tree keyed by deadline for tests.
+type Tree struct {
+	tree  tree
+	nodes map[int64]*waiter
+}
+
+// NewTree returns an empty tree.
+func NewTree() *Tree { return &Tree{tree: tree{rng: 1}, nodes: map[int64]*waiter{}} }
+
+// Insert adds a deadline that is not in the tree.
+func (t *Tree) Insert(until int64) {
+	w := &waiter{req: &Request{until: clock.Mono(until)}}
+	t.nodes[until] = w
+	t.tree.insert(w)
+}
+
+// Remove takes a deadline out.
+func (t *Tree) Remove(until int64) { t.tree.remove(t.nodes[until]) }
+
+// Rank returns how many deadlines are at or before until.
+func (t *Tree) Rank(until int64) int { return t.tree.rank(clock.Mono(until)) }
+
+// All returns all deadlines in order.
+func (t *Tree) All() []int64 {
+	var out []int64
+	var walk func(n *waiter)
+	walk = func(n *waiter) {
+		if n != nil {
+			walk(n.left)
+			out = append(out, int64(n.req.until))
+			walk(n.right)
+		}
+	}
+	walk(t.tree.root)
+	return out
+}
+
+// Depth returns the length of the longest path.
+func (t *Tree) Depth() int {
+	var depth func(n *waiter) int
+	depth = func(n *waiter) int {
+		if n == nil {
+			return 0
+		}
+		return 1 + max(depth(n.left), depth(n.right))
+	}
+	return depth(t.tree.root)
+}
--- a/entry/route/service.go
+++ b/entry/route/service.go
@@ -18,6 +18,8 @@
 	// reservePoll is how often a team at its limit is tried again. Allotments
 	// also grow without a request ending here.
 	reservePoll = 20 * time.Millisecond
+	// refreshTime is how long the figures of an unused instance count.
+	refreshTime = 5 * time.Second
 	// maxExtensions bounds how often a penalty is doubled.
 	maxExtensions = 4
 	// latencyDecay lowers the estimate with each request refused by it while
@@ -64,6 +66,8 @@
 	samples int
 	// latency and deviation are moving figures of the service time in seconds.
 	latency, deviation float64
+	// refreshing states that an event for refresh is due.
+	refreshing bool
 	// levels are ordered by class, the first to be served first.
 	levels  []*level
 	retries []*waiter
@@ -346,11 +350,31 @@
 func (s *service) take(i *instance, team string, now, until clock.Mono) *lease {
 	l := &lease{inst: i, team: team, at: now, until: until}
 	s.router.leases[l] = struct{}{}
+	if !s.refreshing {
+		s.refreshing = true
+		s.router.at(now.Add(refreshTime), s.refresh)
+	}
 	i.held++
 	s.touch(i)
 	return l
 }
 
+// refresh moves the figures of unused instances towards the usual ones, so
+// that an instance that was slow or failed is tried again at low load.
+func (s *service) refresh(now clock.Mono) {
+	s.refreshing = false
+	for _, i := range s.byID {
+		if i.held > 0 || now.Sub(i.answered) < refreshTime {
+			continue
+		}
+		if i.latency > 0 {
+			i.latency += (s.latency - i.latency) / 2
+		}
+		i.failRate /= 2
+		s.touch(i)
+	}
+}
+
 // putBack ends a lease, once.
 func (s *service) putBack(l *lease) {
 	if l.ended {
