entry/route: end goroutines with Close, close gaps found by mutation

A retry at its team's limit, an imported refusal, a caller that leaves while its work runs and a retry on the same instance were not, and a discarded router left a goroutine until its next event.

Change: Close; a retry at its team's limit is tried again every 20 ms; a request whose caller has left is not admitted; the export is encoded without the lock; four tests.

--- a/entry/route/handover.go
+++ b/entry/route/handover.go
@@ -45,39 +45,45 @@
 // each fit a message between entry VMs. Ids that are still running are
 // exported as "outcome unknown".
 func (r *Router) Export() ([][]byte, error) {
+	list := r.export()
+	parts := make([][]byte, 0, len(list))
+	for _, h := range list {
+		part, err := json.Marshal(h)
+		if err != nil {
+			return nil, rcode.Wrap(err, rcode.Internal, "route.Export")
+		}
+		parts = append(parts, part)
+	}
+	return parts, nil
+}
+
+// export collects the parts. Encoding them takes longer and needs no lock.
+func (r *Router) export() []handover {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now, wall := r.clk.Now(), r.clk.Wall()
 	r.ids.expire(now)
-	h := r.held(now, wall)
-	var parts [][]byte
+	list := []handover{r.held(now, wall)}
 	size := 0
-	flush := func() error {
-		part, err := json.Marshal(h)
-		parts = append(parts, part)
-		h.IDs, h.Held, size = nil, nil, 0
-		return rcode.Wrap(err, rcode.Internal, "route.Export")
-	}
 	for _, e := range r.ids.entries {
 		x := e.export(wall.Add(e.expires.Sub(now)))
-		h.IDs = append(h.IDs, x)
-		size += 256 + len(x.Body)
-		if size < handoverPart {
-			continue
-		}
-		if err := flush(); err != nil {
-			return nil, err
+		if size > handoverPart {
+			list, size = append(list, handover{Source: r.cfg.Source}), 0
 		}
+		last := &list[len(list)-1]
+		last.IDs = append(last.IDs, x)
+		size += 256 + len(x.Body)
 	}
-	return parts, flush()
+	return list
 }
 
 // ExportRunning returns the slots held now. The former owner sends it again
 // while its last requests end, so that the next one can use their slots.
 func (r *Router) ExportRunning() ([]byte, error) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
-	part, err := json.Marshal(r.held(r.clk.Now(), r.clk.Wall()))
+	h := r.held(r.clk.Now(), r.clk.Wall())
+	r.mu.Unlock()
+	part, err := json.Marshal(h)
 	return part, rcode.Wrap(err, rcode.Internal, "route.ExportRunning")
 }
 
--- a/entry/route/health_test.go
+++ b/entry/route/health_test.go
@@ -90,6 +90,34 @@
 	})
 }
 
+// Guards against a retry that waits for its team's limit and is forgotten.
+func TestRetryAtLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sends := 0
+		r := newRig(t, backend(func(addr string, req route.Request) (route.Response, error) {
+			if sends++; sends == 1 {
+				return route.Response{}, rcode.Wrap(route.ErrGaveUp, rcode.OutcomeUnknown, "timeout")
+			}
+			return echo(addr, req)
+		}), route.Config{PenaltyMin: time.Second})
+		r.gate.limits = map[string]int{"large": 1}
+		r.SetInstances(vms(t, 2, 1))
+		ended := make(chan string, 1)
+		go func() { ended <- text(r.do("a", "large", "x", route.WithRepeatable(true))) }()
+		synctest.Wait()
+		if sends != 1 {
+			t.Fatalf("%d sends while the team is at its limit", sends)
+		}
+		r.gate.mu.Lock()
+		r.gate.limits = nil
+		r.gate.mu.Unlock()
+		r.clk.Advance(20 * time.Millisecond)
+		if d := cmp.Diff("x", <-ended); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against an instance that fails and keeps its part of the requests,
 // that is never tried again, or that is tried again with many at once.
 func TestEjection(t *testing.T) {
@@ -172,7 +200,7 @@
 		})
 	}
 	wg.Wait()
-	settle()
+	r.Close()
 	return codes
 }
 
--- a/entry/route/helper_test.go
+++ b/entry/route/helper_test.go
@@ -10,6 +10,7 @@
 	"limpethitch.example/core/clock"
 	"limpethitch.example/core/fleet"
 	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
 	"limpethitch.example/entry/route"
 )
 
@@ -92,8 +93,12 @@
 // backend is a Backend whose behaviour is a function.
 type backend func(addr string, req route.Request) (route.Response, error)
 
-func (b backend) Do(_ context.Context, addr string, req route.Request) (route.Response, error) {
-	return b(addr, req)
+func (b backend) Do(ctx context.Context, addr string, req route.Request) (route.Response, error) {
+	resp, err := b(addr, req)
+	if ctx.Err() != nil {
+		return route.Response{}, rcode.Wrap(ctx.Err(), rcode.OutcomeUnknown, "cut off")
+	}
+	return resp, err
 }
 
 func echo(_ string, req route.Request) (route.Response, error) {
@@ -113,8 +118,7 @@
 	tb.Helper()
 	r := &rig{tb: tb, clk: clock.NewFake(start), gate: &gate{}, queue: queue(tb, "reprints")}
 	r.Router = route.New(cfg, route.Deps{Clock: r.clk, Gate: r.gate, Backend: b})
-	// Ends the goroutine that waits for the router's next event.
-	tb.Cleanup(func() { r.clk.Advance(2 * time.Minute) })
+	tb.Cleanup(func() { r.Close() })
 	return r
 }
 
--- a/entry/route/ids_test.go
+++ b/entry/route/ids_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -241,6 +242,28 @@
 	}
 }
 
+// Guards against a peer's record that makes this VM report "not run".
+func TestImportNotRun(t *testing.T) {
+	old := newRig(t, backend(echo), route.Config{})
+	old.SetInstances(vms(t, 1, 8))
+	once := route.WithCallerID(true)
+	if _, err := old.do("id", "large", "x", once); err != nil {
+		t.Fatal(err)
+	}
+	parts, err := old.Export()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := newRig(t, backend(echo), route.Config{})
+	next.SetInstances(vms(t, 1, 8))
+	if err := next.Import(bytes.Replace(parts[0], []byte(rcode.OK), []byte(rcode.QueueFull), 1)); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(string(rcode.OutcomeUnknown), text(next.do("id", "large", "x", once))); d != "" {
+		t.Error(d)
+	}
+}
+
 // Guards against slots that stay taken when the former owner ends without a
 // last word.
 func TestHandoverEnds(t *testing.T) {
--- a/entry/route/load_test.go
+++ b/entry/route/load_test.go
@@ -111,14 +111,11 @@
 			})
 		}
 		wg.Wait()
-		settle()
+		r.Close()
 	})
 	return res
 }
 
-// settle lets the routers' last events pass before a bubble ends.
-func settle() { time.Sleep(2 * time.Minute) }
-
 func (l load) pick(rng *rand.Rand) string {
 	x := rng.Float64()
 	for _, team := range []string{"large", "small"} {
--- a/entry/route/queue_test.go
+++ b/entry/route/queue_test.go
@@ -200,6 +200,9 @@
 		if got := h.gate.running["large"]; got > 2 {
 			t.Errorf("%d running after one ended", got)
 		}
+		if d := cmp.Diff([]string{"0", "1", "x", "2"}, h.order); d != "" {
+			t.Errorf("after one ended: %s", d)
+		}
 		h.gate.limits = nil
 		h.gate.mu.Unlock()
 		h.clk.Advance(20 * time.Millisecond)
--- a/entry/route/route.go
+++ b/entry/route/route.go
@@ -15,6 +15,10 @@
 // when no instance can have run the work: it was never sent, or every instance
 // it was sent to refused it before work began.
 //
+// A shard that moves in a planned way calls Export on the former owner and
+// Import on the next, then sends ExportRunning until Drain returns. A shard that
+// was taken over after a failure calls TookOver. Close ends a router.
+//
 // # Slots
 //
 // Each running request holds one slot of one instance and one reservation of
@@ -35,6 +39,11 @@
 // Requests that find no free slot wait in bounded queues by class and team.
 // Interactive requests go first, teams of a class take turns by weight, and
 // the earliest deadline goes first within a team.
+//
+// A request that the moving service time says cannot make its deadline is
+// refused at once. When an interactive queue has not emptied for some time,
+// requests that would wait longer than half a service time are refused too, so
+// that those admitted are served as quickly as at an ordinary load.
 package route
 
 import (
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -41,6 +41,8 @@
 	calls    int
 	draining bool
 	idle     chan struct{}
+	closed   chan struct{}
+	closing  sync.Once
 
 	takenOver     time.Time
 	takenOverMono clock.Mono
@@ -57,7 +59,7 @@
 	r := &Router{
 		cfg: cfg, clk: deps.Clock, log: deps.Log, gate: deps.Gate, backend: deps.Backend, weigh: deps.Weight,
 		services: map[string]*service{}, blocked: map[string][]blockedFlow{},
-		leases: map[*lease]struct{}{}, foreign: map[string]foreign{},
+		leases: map[*lease]struct{}{}, foreign: map[string]foreign{}, closed: make(chan struct{}),
 	}
 	if r.log == nil {
 		r.log = zap.NewNop()
@@ -224,6 +226,9 @@
 
 // acquire waits for a slot.
 func (r *Router) acquire(ctx context.Context, w *waiter) (*lease, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, rcode.Wrap(err, rcode.DeadlinePassed, "caller left")
+	}
 	r.mu.Lock()
 	now := r.clk.Now()
 	r.fire(now)
@@ -382,7 +387,11 @@
 	r.armed = append(r.armed, next)
 	timer := r.clk.After(next.Sub(r.clk.Now()))
 	go func() {
-		<-timer
+		select {
+		case <-timer:
+		case <-r.closed:
+			return
+		}
 		r.mu.Lock()
 		defer r.unlock()
 		r.armed = slices.DeleteFunc(r.armed, func(t clock.Mono) bool { return t == next })
@@ -410,6 +419,10 @@
 	}
 }
 
+// Close ends the goroutine that waits for the router's next event. It is called
+// after Drain, or when the shard's state is discarded.
+func (r *Router) Close() { r.closing.Do(func() { close(r.closed) }) }
+
 // Stats is a digest of a router's state.
 type Stats struct {
 	queued  map[policy.Class]int
--- a/entry/route/service.go
+++ b/entry/route/service.go
@@ -255,6 +255,10 @@
 	}
 	burst := max(burstMin, seconds(burstFactor*s.latency))
 	if now < l.cappedUntil || now.Sub(l.busySince) > burst {
+		if now >= l.cappedUntil {
+			s.router.log.Warn("overload, waits are capped", zap.String("service", s.name),
+				zap.Int("waiting", l.len), zap.Float64("wait_s", wait))
+		}
 		l.cappedUntil = now.Add(overload)
 		return rcode.New(rcode.QueueFull, "service %q is overloaded: about %.3f s of waiting", s.name, wait)
 	}
@@ -325,9 +329,21 @@
 	w.svc = s
 	w.ready = make(chan struct{}, 1)
 	s.retries = append(s.retries, w)
+	s.pollRetry(w, now)
 	return nil
 }
 
+// pollRetry tries again for a retry whose team may be at its limit: allotments
+// also grow without a request ending here.
+func (s *service) pollRetry(w *waiter, now clock.Mono) {
+	s.router.at(now.Add(reservePoll), func(now clock.Mono) {
+		if slices.Contains(s.retries, w) {
+			s.dispatch(now)
+			s.pollRetry(w, now)
+		}
+	})
+}
+
 // abandon takes w out of wherever it waits.
 func (s *service) abandon(w *waiter, now clock.Mono) {
 	if w.flow != nil {
--- a/entry/route/stress_test.go
+++ b/entry/route/stress_test.go
@@ -206,7 +206,7 @@
 		}
 		wg.Wait()
 		took := time.Since(begun)
-		settle()
+		time.Sleep(2 * time.Minute)
 		r.SetInstances(nil)
 		r.SetInstances(all)
 		st := r.Stats()
@@ -216,6 +216,7 @@
 		if d := cmp.Diff(map[string]int{"large": 0, "small": 0}, g.running); d != "" {
 			t.Errorf("reservations at the end: %s", d)
 		}
+		r.Close()
 		if d := cmp.Diff([]string(nil), w.faults); d != "" {
 			t.Error(d)
 		}
