entry/route: estimate service times for each queue

Cause: one moving service time for a whole service refused a quick request with a deadline of 1 s after a 20 s request of another queue, although slots were free, and a long request made its instance look slow.

Change: the estimate of a request's own time is kept for each queue; an instance's slowness is the ratio of its times to the usual ones of their queue.

Conclusion: quick and long queues can share a service.

--- a/entry/route/helper_test.go
+++ b/entry/route/helper_test.go
@@ -19,6 +19,7 @@
 	"teams": [{"name": "large", "limit": {}}, {"name": "small", "limit": {}}],
 	"queues": [
 		{"name": "reprints", "class": "interactive", "service": "badges", "max_waiting": 4096},
+		{"name": "portraits", "class": "interactive", "service": "badges"},
 		{"name": "tiny", "class": "interactive", "service": "badges", "max_waiting": 1}
 	]}`
 
--- a/entry/route/instance.go
+++ b/entry/route/instance.go
@@ -11,7 +11,7 @@
 
 // Constants of the choice of an instance.
 const (
-	// latencyWeight is the weight of a new sample in an instance's latency.
+	// latencyWeight is the weight of a new sample in an instance's slowness.
 	latencyWeight = 0.1
 	// serviceWeight is the same for the service as a whole. It is smaller, so
 	// that one slow instance shows against the others.
@@ -68,8 +68,10 @@
 	ceiling   float64
 	refusedAt clock.Mono
 	// answered is when the instance last completed a response.
-	answered  clock.Mono
-	latency   float64
+	answered clock.Mono
+	// slowness is the moving ratio of its service times to the usual ones of
+	// their queues; 0 before the first.
+	slowness  float64
 	failRate  float64
 	health    health
 	failures  int
@@ -126,17 +128,17 @@
 func (i *instance) free() int { return max(0, i.allowed()-i.held) }
 
 // rescore computes the load that one more request would mean: its share of
-// the limit, weighted by latency and failures.
+// the limit, weighted by slowness and failures.
 func (i *instance) rescore() {
 	if i.free() == 0 {
 		i.score = math.Inf(1)
 		return
 	}
-	latency := i.latency
-	if latency == 0 {
-		latency = i.svc.latency
+	slowness := i.slowness
+	if slowness == 0 {
+		slowness = 1
 	}
-	i.score = float64(i.held+1) / float64(i.allowed()) * (latency + 1e-6) * (1 + 4*i.failRate)
+	i.score = float64(i.held+1) / float64(i.allowed()) * slowness * (1 + 4*i.failRate)
 	if i.health == probing {
 		i.score += 1e9
 	}
@@ -144,23 +146,22 @@
 
 // lower reduces the limit, at most once in the time of one answer.
 func (i *instance) lower(factor float64, now clock.Mono) {
-	if now.Sub(i.lowered).Seconds() < i.latency && i.lowered != 0 {
+	if now.Sub(i.lowered).Seconds() < i.svc.all.mean && i.lowered != 0 {
 		return
 	}
 	i.lowered = now
 	i.limit = max(1, i.limit*factor)
 }
 
-func (i *instance) succeeded(took float64, now clock.Mono) {
+func (i *instance) succeeded(took float64, usual *timing, now clock.Mono) {
 	s := i.svc
-	if i.latency == 0 {
-		i.latency = took
+	s.all.add(took)
+	usual.add(took)
+	ratio := (took + slowMargin) / (usual.mean + slowMargin)
+	if i.slowness == 0 {
+		i.slowness = ratio
 	}
-	i.latency += (took - i.latency) * latencyWeight
-	s.samples++
-	w := max(serviceWeight, 1/float64(s.samples))
-	s.deviation += (math.Abs(took-s.latency) - s.deviation) * w
-	s.latency += (took - s.latency) * w
+	i.slowness += (ratio - i.slowness) * latencyWeight
 	i.failRate *= 1 - latencyWeight
 	i.failures, i.refusals = 0, 0
 	i.answered = now
@@ -175,7 +176,7 @@
 	if float64(i.held) < i.limit-1 {
 		return
 	}
-	if i.latency > slowFactor*s.latency+slowMargin {
+	if i.slowness > slowFactor {
 		i.lower(0.9, now)
 		return
 	}
--- a/entry/route/queue_test.go
+++ b/entry/route/queue_test.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// Guards against quick requests that are refused because a queue of the same
+// service takes long.
+func TestQuickBesideLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := newHeld(t, vms(t, 1, 2))
+		h.start(t.Context(), "long", "large", "portraits", 50*time.Second)
+		h.clk.Advance(20 * time.Second)
+		h.finish(1)
+		h.start(t.Context(), "quick", "large", "reprints", time.Second)
+		h.start(t.Context(), "again", "large", "portraits", 15*time.Second)
+		close(h.let)
+		synctest.Wait()
+		want := []string{"again LH2002", "long LH0000", "quick LH0000"}
+		if d := cmp.Diff(want, h.outcomes()); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
 // Guards against a request that is cut off because its caller left after it
 // was sent: its slot stays taken until the response.
 func TestCallerLeavesWhileRunning(t *testing.T) {
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -281,9 +281,10 @@
 	}
 	i, s := l.inst, l.inst.svc
 	took := now.Sub(l.at).Seconds()
+	usual := s.timing(req.queue.Name())
 	switch {
 	case err == nil:
-		i.succeeded(took, now)
+		i.succeeded(took, usual, now)
 		if resp.status >= 500 {
 			// Work that fails makes an instance a worse choice, but never
 			// ejects it: one team's faulty requests would do so for all.
@@ -295,12 +296,12 @@
 	case errors.Is(err, ErrGaveUp):
 		// A deadline shorter than the usual service time says nothing about
 		// the instance.
-		if took > slowFactor*s.latency {
+		if took > slowFactor*usual.mean {
 			i.failed(now)
 			i.lower(failFactor, now)
 		}
 		s.touch(i)
-		s.penalise(l, s.penalty(l, now), 0, now)
+		s.penalise(l, s.penalty(l, usual, now), 0, now)
 		return r.mayRetry(s, req, attempt, err, now)
 	case rcode.Is(err, rcode.AnswerTooLarge):
 	case rcode.Is(err, rcode.BackendRefused) && !errors.Is(err, ErrNotSent):
@@ -319,7 +320,7 @@
 	if attempt >= r.cfg.MaxAttempts || rcode.Is(err, rcode.AnswerTooLarge) || s.sum.live < 2 {
 		return false
 	}
-	if now.Add(seconds(s.latency)) >= req.until || !r.budget.take(now) {
+	if now.Add(seconds(s.timing(req.queue.Name()).mean)) >= req.until || !r.budget.take(now) {
 		return false
 	}
 	r.retries++
--- a/entry/route/service.go
+++ b/entry/route/service.go
@@ -62,10 +62,9 @@
 	heap   instanceHeap
 	sum    totals
 	probes []*instance
-	// samples counts service times, so that the first ones weigh more.
-	samples int
-	// latency and deviation are moving figures of the service time in seconds.
-	latency, deviation float64
+	// all is the service time over all queues, queues that of each.
+	all    timing
+	queues map[string]*timing
 	// refreshing states that an event for refresh is due.
 	refreshing bool
 	// levels are ordered by class, the first to be served first.
@@ -74,7 +73,7 @@
 }
 
 func newService(r *Router, name string) *service {
-	s := &service{name: name, router: r, byID: map[string]*instance{}}
+	s := &service{name: name, router: r, byID: map[string]*instance{}, queues: map[string]*timing{}}
 	for _, c := range policy.Classes() {
 		s.levels = append(s.levels, newLevel(c))
 	}
@@ -205,9 +204,9 @@
 	f := l.flow(team)
 	if s.next() == nil && len(s.retries) == 0 && !f.blocked {
 		if i := s.pick(w); i != nil {
-			if now.Add(seconds(s.latency)) > w.req.until {
-				s.latency *= latencyDecay
-				return rcode.New(rcode.DeadlineUnmet, "service %q needs about %.3f s", s.name, s.latency)
+			if usual := s.timing(w.req.queue.Name()); now.Add(seconds(usual.mean)) > w.req.until {
+				usual.mean *= latencyDecay
+				return rcode.New(rcode.DeadlineUnmet, "queue %q needs about %.3f s", w.req.queue.Name(), usual.mean)
 			}
 			if s.router.gate.Reserve(team) {
 				s.grant(w, i, now)
@@ -236,7 +235,7 @@
 // feasible refuses a request that the estimate says will not make its
 // deadline, and in a lasting overload an interactive one that would wait long.
 func (s *service) feasible(w *waiter, l *level, f *flow, weight float64, now clock.Mono) error {
-	if s.sum.capacity == 0 || s.latency == 0 {
+	if s.sum.capacity == 0 || s.all.mean == 0 {
 		return nil
 	}
 	ahead := l.ahead(f, weight, w.req.until)
@@ -246,14 +245,14 @@
 		}
 		ahead += h.len - h.stalled
 	}
-	wait := float64(ahead+1) * s.latency / float64(s.sum.capacity)
-	if now.Add(seconds(wait+s.latency)) > w.req.until {
-		return rcode.New(rcode.DeadlineUnmet, "service %q: about %.3f s until done", s.name, wait+s.latency)
+	wait := float64(ahead+1) * s.all.mean / float64(s.sum.capacity)
+	if done := wait + s.timing(w.req.queue.Name()).mean; now.Add(seconds(done)) > w.req.until {
+		return rcode.New(rcode.DeadlineUnmet, "service %q: about %.3f s until done", s.name, done)
 	}
-	if l.class != policy.ClassInteractive || l.len < 2 || wait <= waitFactor*s.latency {
+	if l.class != policy.ClassInteractive || l.len < 2 || wait <= waitFactor*s.all.mean {
 		return nil
 	}
-	burst := max(burstMin, seconds(burstFactor*s.latency))
+	burst := max(burstMin, seconds(burstFactor*s.all.mean))
 	if now < l.cappedUntil || now.Sub(l.busySince) > burst {
 		if now >= l.cappedUntil {
 			s.router.log.Warn("overload, waits are capped", zap.String("service", s.name),
@@ -277,7 +276,7 @@
 		}
 		f := l.active[0]
 		w := f.tree.first()
-		if w.req.until < now.Add(seconds(s.latency)) {
+		if w.req.until < now.Add(seconds(s.timing(w.req.queue.Name()).mean)) {
 			l.remove(w)
 			w.finish(nil, late(w.req, now))
 			continue
@@ -383,8 +382,8 @@
 		if i.held > 0 || now.Sub(i.answered) < refreshTime {
 			continue
 		}
-		if i.latency > 0 {
-			i.latency += (s.latency - i.latency) / 2
+		if i.slowness > 0 {
+			i.slowness += (1 - i.slowness) / 2
 		}
 		i.failRate /= 2
 		s.touch(i)
@@ -421,8 +420,8 @@
 }
 
 // penalty returns how long a slot stays taken after the router gave up.
-func (s *service) penalty(l *lease, now clock.Mono) time.Duration {
-	usual := l.at.Add(2 * seconds(s.latency+4*s.deviation))
+func (s *service) penalty(l *lease, t *timing, now clock.Mono) time.Duration {
+	usual := l.at.Add(2 * seconds(t.mean+4*t.deviation))
 	return min(MaxLife, max(s.router.cfg.PenaltyMin, usual.Sub(now)))
 }
 
