--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -41,6 +41,8 @@
 	calls    int
 	draining bool
 	idle     chan struct{}
+	closed   chan struct{}
+	closing  sync.Once
 
 	takenOver     time.Time
 	takenOverMono clock.Mono
@@ -57,7 +59,7 @@
 	r := &Router{
 		cfg: cfg, clk: deps.Clock, log: deps.Log, gate: deps.Gate, backend: deps.Backend, weigh: deps.Weight,
 		services: map[string]*service{}, blocked: map[string][]blockedFlow{},
-		leases: map[*lease]struct{}{}, foreign: map[string]foreign{},
+		leases: map[*lease]struct{}{}, foreign: map[string]foreign{}, closed: make(chan struct{}),
 	}
 	if r.log == nil {
 		r.log = zap.NewNop()
@@ -224,6 +226,9 @@
 
 // acquire waits for a slot.
 func (r *Router) acquire(ctx context.Context, w *waiter) (*lease, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, rcode.Wrap(err, rcode.DeadlinePassed, "caller left")
+	}
 	r.mu.Lock()
 	now := r.clk.Now()
 	r.fire(now)
@@ -276,9 +281,10 @@
 	}
 	i, s := l.inst, l.inst.svc
 	took := now.Sub(l.at).Seconds()
+	usual := s.timing(req.queue.Name())
 	switch {
 	case err == nil:
-		i.succeeded(took, now)
+		i.succeeded(took, usual, now)
 		if resp.status >= 500 {
 			// Work that fails makes an instance a worse choice, but never
 			// ejects it: one team's faulty requests would do so for all.
@@ -290,12 +296,12 @@
 	case errors.Is(err, ErrGaveUp):
 		// A deadline shorter than the usual service time says nothing about
 		// the instance.
-		if took > slowFactor*s.latency {
+		if took > slowFactor*usual.mean {
 			i.failed(now)
 			i.lower(failFactor, now)
 		}
 		s.touch(i)
-		s.penalise(l, s.penalty(l, now), 0, now)
+		s.penalise(l, s.penalty(l, usual, now), 0, now)
 		return r.mayRetry(s, req, attempt, err, now)
 	case rcode.Is(err, rcode.AnswerTooLarge):
 	case rcode.Is(err, rcode.BackendRefused) && !errors.Is(err, ErrNotSent):
@@ -314,7 +320,7 @@
 	if attempt >= r.cfg.MaxAttempts || rcode.Is(err, rcode.AnswerTooLarge) || s.sum.live < 2 {
 		return false
 	}
-	if now.Add(seconds(s.latency)) >= req.until || !r.budget.take(now) {
+	if now.Add(seconds(s.timing(req.queue.Name()).mean)) >= req.until || !r.budget.take(now) {
 		return false
 	}
 	r.retries++
@@ -382,7 +388,11 @@
 	r.armed = append(r.armed, next)
 	timer := r.clk.After(next.Sub(r.clk.Now()))
 	go func() {
-		<-timer
+		select {
+		case <-timer:
+		case <-r.closed:
+			return
+		}
 		r.mu.Lock()
 		defer r.unlock()
 		r.armed = slices.DeleteFunc(r.armed, func(t clock.Mono) bool { return t == next })
@@ -410,6 +420,10 @@
 	}
 }
 
+// Close ends the goroutine that waits for the router's next event. It is called
+// after Drain, or when the shard's state is discarded.
+func (r *Router) Close() { r.closing.Do(func() { close(r.closed) }) }
+
 // Stats is a digest of a router's state.
 type Stats struct {
 	queued  map[policy.Class]int
--- a/entry/route/service.go
+++ b/entry/route/service.go
@@ -18,6 +18,8 @@
 	// reservePoll is how often a team at its limit is tried again. Allotments
 	// also grow without a request ending here.
 	reservePoll = 20 * time.Millisecond
+	// refreshTime is how long the figures of an unused instance count.
+	refreshTime = 5 * time.Second
 	// maxExtensions bounds how often a penalty is doubled.
 	maxExtensions = 4
 	// latencyDecay lowers the estimate with each request refused by it while
@@ -60,17 +62,18 @@
 	heap   instanceHeap
 	sum    totals
 	probes []*instance
-	// samples counts service times, so that the first ones weigh more.
-	samples int
-	// latency and deviation are moving figures of the service time in seconds.
-	latency, deviation float64
+	// all is the service time over all queues, queues that of each.
+	all    timing
+	queues map[string]*timing
+	// refreshing states that an event for refresh is due.
+	refreshing bool
 	// levels are ordered by class, the first to be served first.
 	levels  []*level
 	retries []*waiter
 }
 
 func newService(r *Router, name string) *service {
-	s := &service{name: name, router: r, byID: map[string]*instance{}}
+	s := &service{name: name, router: r, byID: map[string]*instance{}, queues: map[string]*timing{}}
 	for _, c := range policy.Classes() {
 		s.levels = append(s.levels, newLevel(c))
 	}
@@ -201,9 +204,9 @@
 	f := l.flow(team)
 	if s.next() == nil && len(s.retries) == 0 && !f.blocked {
 		if i := s.pick(w); i != nil {
-			if now.Add(seconds(s.latency)) > w.req.until {
-				s.latency *= latencyDecay
-				return rcode.New(rcode.DeadlineUnmet, "service %q needs about %.3f s", s.name, s.latency)
+			if usual := s.timing(w.req.queue.Name()); now.Add(seconds(usual.mean)) > w.req.until {
+				usual.mean *= latencyDecay
+				return rcode.New(rcode.DeadlineUnmet, "queue %q needs about %.3f s", w.req.queue.Name(), usual.mean)
 			}
 			if s.router.gate.Reserve(team) {
 				s.grant(w, i, now)
@@ -232,7 +235,7 @@
 // feasible refuses a request that the estimate says will not make its
 // deadline, and in a lasting overload an interactive one that would wait long.
 func (s *service) feasible(w *waiter, l *level, f *flow, weight float64, now clock.Mono) error {
-	if s.sum.capacity == 0 || s.latency == 0 {
+	if s.sum.capacity == 0 || s.all.mean == 0 {
 		return nil
 	}
 	ahead := l.ahead(f, weight, w.req.until)
@@ -242,15 +245,19 @@
 		}
 		ahead += h.len - h.stalled
 	}
-	wait := float64(ahead+1) * s.latency / float64(s.sum.capacity)
-	if now.Add(seconds(wait+s.latency)) > w.req.until {
-		return rcode.New(rcode.DeadlineUnmet, "service %q: about %.3f s until done", s.name, wait+s.latency)
+	wait := float64(ahead+1) * s.all.mean / float64(s.sum.capacity)
+	if done := wait + s.timing(w.req.queue.Name()).mean; now.Add(seconds(done)) > w.req.until {
+		return rcode.New(rcode.DeadlineUnmet, "service %q: about %.3f s until done", s.name, done)
 	}
-	if l.class != policy.ClassInteractive || l.len < 2 || wait <= waitFactor*s.latency {
+	if l.class != policy.ClassInteractive || l.len < 2 || wait <= waitFactor*s.all.mean {
 		return nil
 	}
-	burst := max(burstMin, seconds(burstFactor*s.latency))
+	burst := max(burstMin, seconds(burstFactor*s.all.mean))
 	if now < l.cappedUntil || now.Sub(l.busySince) > burst {
+		if now >= l.cappedUntil {
+			s.router.log.Warn("overload, waits are capped", zap.String("service", s.name),
+				zap.Int("waiting", l.len), zap.Float64("wait_s", wait))
+		}
 		l.cappedUntil = now.Add(overload)
 		return rcode.New(rcode.QueueFull, "service %q is overloaded: about %.3f s of waiting", s.name, wait)
 	}
@@ -269,7 +276,7 @@
 		}
 		f := l.active[0]
 		w := f.tree.first()
-		if w.req.until < now.Add(seconds(s.latency)) {
+		if w.req.until < now.Add(seconds(s.timing(w.req.queue.Name()).mean)) {
 			l.remove(w)
 			w.finish(nil, late(w.req, now))
 			continue
@@ -321,9 +328,21 @@
 	w.svc = s
 	w.ready = make(chan struct{}, 1)
 	s.retries = append(s.retries, w)
+	s.pollRetry(w, now)
 	return nil
 }
 
+// pollRetry tries again for a retry whose team may be at its limit: allotments
+// also grow without a request ending here.
+func (s *service) pollRetry(w *waiter, now clock.Mono) {
+	s.router.at(now.Add(reservePoll), func(now clock.Mono) {
+		if slices.Contains(s.retries, w) {
+			s.dispatch(now)
+			s.pollRetry(w, now)
+		}
+	})
+}
+
 // abandon takes w out of wherever it waits.
 func (s *service) abandon(w *waiter, now clock.Mono) {
 	if w.flow != nil {
@@ -346,11 +365,31 @@
 func (s *service) take(i *instance, team string, now, until clock.Mono) *lease {
 	l := &lease{inst: i, team: team, at: now, until: until}
 	s.router.leases[l] = struct{}{}
+	if !s.refreshing {
+		s.refreshing = true
+		s.router.at(now.Add(refreshTime), s.refresh)
+	}
 	i.held++
 	s.touch(i)
 	return l
 }
 
+// refresh moves the figures of unused instances towards the usual ones, so
+// that an instance that was slow or failed is tried again at low load.
+func (s *service) refresh(now clock.Mono) {
+	s.refreshing = false
+	for _, i := range s.byID {
+		if i.held > 0 || now.Sub(i.answered) < refreshTime {
+			continue
+		}
+		if i.slowness > 0 {
+			i.slowness += (1 - i.slowness) / 2
+		}
+		i.failRate /= 2
+		s.touch(i)
+	}
+}
+
 // putBack ends a lease, once.
 func (s *service) putBack(l *lease) {
 	if l.ended {
@@ -381,8 +420,8 @@
 }
 
 // penalty returns how long a slot stays taken after the router gave up.
-func (s *service) penalty(l *lease, now clock.Mono) time.Duration {
-	usual := l.at.Add(2 * seconds(s.latency+4*s.deviation))
+func (s *service) penalty(l *lease, t *timing, now clock.Mono) time.Duration {
+	usual := l.at.Add(2 * seconds(t.mean+4*t.deviation))
 	return min(MaxLife, max(s.router.cfg.PenaltyMin, usual.Sub(now)))
 }
 
