entry/member: never confirm a version beyond what every VM showed

Relays need echoes, try other VMs of a data centre, and split datagrams at 1,400 bytes instead of rotating 12 items.

Before, a data centre that published and was then wholly replaced during an outage let the older version take force again; now it waits for the store.

--- a/entry/member/fresh.go
+++ b/entry/member/fresh.go
@@ -6,30 +6,55 @@
 	"limpethitch.example/core/clock"
 )
 
+// AsOf returns up to when this VM may take version for current: the newest of its
+// own last proof from the store, of what a VM of its data centre said, and of the
+// exchanges with all data centres. The exchanges count only once one of the other
+// two was seen: when all VMs of a data centre were replaced while the store was
+// down, what the former ones had published is known to none of them, and an older
+// version must not take force again on their word.
+func (m *Members) AsOf(version int64, own clock.Mono, dcs []string) clock.Mono {
+	near := max(own, m.PeerAsOf(version))
+	m.mu.Lock()
+	m.informed = m.informed || near > 0
+	informed := m.informed
+	m.mu.Unlock()
+	if !informed {
+		return 0
+	}
+	return max(near, m.ConfirmedAsOf(version, dcs))
+}
+
 // MeshAsOf returns the time of the oldest of the newest exchanges with the other
-// VMs of this data centre: all that they knew up to then has reached this VM. A
-// VM that the platform no longer lists does not count; alone is always fresh.
-func (m *Members) MeshAsOf() clock.Mono {
+// VMs of this data centre: up to then none of them held a version above version.
+// It returns 0 when one of them is known to hold a newer one, and while the
+// platform's list has not yet named this VM, since the others may then be unknown.
+// A VM that the platform dropped from its list does not count; a VM that is the
+// only one of its data centre is always fresh.
+func (m *Members) MeshAsOf(version int64) clock.Mono {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.meshLocked(m.clk.Now())
+	return m.meshLocked(m.clk.Now(), version)
 }
 
-func (m *Members) meshLocked(now clock.Mono) clock.Mono {
+func (m *Members) meshLocked(now clock.Mono, version int64) clock.Mono {
+	if !m.selfListed {
+		return 0
+	}
 	oldest := now
-	for _, name := range m.dcNamesLocked(now) {
-		at := clock.Mono(0)
-		if v, ok := m.vms[name]; ok {
-			at = v.exchangedAt
+	for _, name := range m.dcNamesLocked() {
+		v, ok := m.vms[name]
+		if !ok || v.policy > version {
+			return 0
 		}
-		oldest = min(oldest, at)
+		oldest = min(oldest, v.exchangedAt)
 	}
 	return oldest
 }
 
 // dcNamesLocked lists the other VMs of this data centre: those on the platform's
-// list and those heard that are not yet on it.
-func (m *Members) dcNamesLocked(now clock.Mono) []string {
+// list and those heard that are not yet on it. A silent VM that was never listed
+// stays in the result until it is forgotten: it may be alive beyond a partition.
+func (m *Members) dcNamesLocked() []string {
 	seen := map[string]bool{m.cfg.Name: true}
 	var out []string
 	for _, l := range m.listed {
@@ -39,7 +64,7 @@
 		}
 	}
 	for name, v := range m.vms {
-		if v.dc == m.cfg.DataCentre && !seen[name] && now.Sub(v.heardAt) <= Silence {
+		if v.dc == m.cfg.DataCentre && !seen[name] && !v.gone {
 			out = append(out, name)
 		}
 	}
@@ -49,29 +74,31 @@
 // ConfirmedAsOf returns up to when this VM knows that no policy version above
 // version was published: the oldest, over all data centres, of the newest
 // exchange with a VM of that data centre, each lessened by that VM's own mesh
-// age. It returns 0 when some VM showed a newer version or a data centre was
-// never heard.
+// age. Data centres are those given and those where the platform lists an entry
+// VM or one was heard, since each of these VMs can publish. It returns 0 when
+// some VM showed a newer version or a data centre was never heard.
 func (m *Members) ConfirmedAsOf(version int64, dcs []string) clock.Mono {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	now := m.clk.Now()
-	oldest := m.meshLocked(now)
+	oldest := m.meshLocked(m.clk.Now(), version)
+	newest := map[string]clock.Mono{}
 	for _, dc := range dcs {
-		if dc == m.cfg.DataCentre {
-			continue
-		}
-		newest := clock.Mono(0)
-		for _, v := range m.vms {
-			if v.dc == dc {
-				newest = max(newest, v.exchangedAt)
-			}
-		}
-		oldest = min(oldest, newest)
+		newest[dc] = 0
+	}
+	for _, l := range m.listed {
+		newest[l.DataCentre()] = 0
 	}
 	for _, v := range m.vms {
 		if v.policy > version {
 			return 0
 		}
+		if !v.gone {
+			newest[v.dc] = max(newest[v.dc], v.exchangedAt)
+		}
+	}
+	delete(newest, m.cfg.DataCentre)
+	for _, at := range newest {
+		oldest = min(oldest, at)
 	}
 	return oldest
 }
--- a/entry/member/member.go
+++ b/entry/member/member.go
@@ -39,8 +39,12 @@
 	Forget = 10 * time.Minute
 	// sentKept is how many send times are kept to date echoes.
 	sentKept = 64
-	// digestsPerDatagram keeps a datagram below 1,400 bytes.
-	digestsPerDatagram = 12
+	// MaxDatagram bounds a datagram in bytes, below the 1,500 of an Ethernet frame
+	// with room for tunnels' headers: a fragmented datagram is lost with any part.
+	MaxDatagram = 1400
+	// partsWithin is how long further datagrams of one sequence number are taken.
+	// One heartbeat may need several; a later one is a replay.
+	partsWithin = Interval
 )
 
 // never is the age of something that was not heard.
@@ -55,10 +59,20 @@
 	policy      int64
 	policyAsOf  clock.Mono
 	exchangedAt clock.Mono
-	heardAt     clock.Mono
-	direct      bool
-	storeOK     bool
-	seenSeq     uint64
+	// echoAt is when this VM sent the newest heartbeat that any process of the VM
+	// echoed.
+	echoAt  clock.Mono
+	heardAt clock.Mono
+	direct  bool
+	// directAt is when a datagram of the VM itself last arrived.
+	directAt clock.Mono
+	storeOK  bool
+	seenSeq  uint64
+	seqAt    clock.Mono
+	// listed and gone tell whether the platform listed the VM, and no longer does.
+	listed, gone bool
+	// probe is the address of an incarnation that has not yet echoed this VM.
+	probe string
 }
 
 // Name returns the VM's name.
@@ -163,8 +177,12 @@
 	vms    map[string]*VM
 	shards map[string]Shard
 	listed []fleet.VM
-	seeds  []string
-	turn   int
+	// selfListed is set once the platform's list named this VM.
+	selfListed bool
+	// informed is set once the store or a VM of this data centre proved a version.
+	informed bool
+	seeds    []string
+	turn     int
 }
 
 // New returns a table. self is called for each heartbeat; newer is called
@@ -181,8 +199,35 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = vms
+	names := make(map[string]bool, len(vms))
+	for _, l := range vms {
+		names[l.ID()] = true
+	}
+	m.selfListed = m.selfListed || names[m.cfg.Name]
+	for name, v := range m.vms {
+		v.markListed(names[name])
+	}
+}
+
+// markListed notes whether the platform lists the VM. A VM that was listed once
+// and no longer is has been ended by the platform.
+func (v *VM) markListed(listed bool) {
+	v.gone = !listed && (v.listed || v.gone)
+	v.listed = listed
 }
 
+func (m *Members) isListedLocked(name string) bool {
+	for _, l := range m.listed {
+		if l.ID() == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Gone reports whether the platform listed the VM once and no longer does.
+func (v VM) Gone() bool { return v.gone }
+
 // Live returns the VMs heard within Silence, without this one, by name.
 func (m *Members) Live() []VM {
 	m.mu.Lock()
@@ -245,7 +290,8 @@
 }
 
 // IsRelay reports whether this VM speaks for its data centre: it has the lowest
-// name of its live VMs.
+// name of those live VMs that both hear it and are heard. A VM that only sends
+// cannot exchange versions with other data centres.
 func (m *Members) IsRelay() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -254,9 +300,15 @@
 
 func (m *Members) relayLocked(now clock.Mono) bool {
 	for _, v := range m.vms {
-		if v.dc == m.cfg.DataCentre && v.direct && !v.leaving && v.name < m.cfg.Name && now.Sub(v.heardAt) <= Silence {
+		if v.dc == m.cfg.DataCentre && !v.leaving && v.name < m.cfg.Name && v.answersLocked(now) {
 			return false
 		}
 	}
 	return true
 }
+
+// answersLocked reports whether the VM itself was heard and echoed this VM within
+// Silence.
+func (v *VM) answersLocked(now clock.Mono) bool {
+	return v.direct && now.Sub(v.directAt) <= Silence && v.echoAt > 0 && now.Sub(v.echoAt) <= Silence
+}
