entry/front: refuse ambiguous framing, close connections while draining

Authorization, Idempotency-Key and X-Deadline could come twice. An open queue that a newer bundle closed between two reads took work without a key. Reading a job compared the operator token with ==. Keep-alive connections stayed with a draining VM. A slow reader held up the shutdown.

Change: ambiguous framing and repeated control headers are refused with 400 and a closed connection; the queue is taken from the bundle that was checked; the token is compared by hashes in constant time; each response of a draining VM carries Connection: close; responses have a write timeout; X-Repeatable takes true or false only.

--- a/entry/front/calls.go
+++ b/entry/front/calls.go
@@ -70,20 +70,10 @@
 
 func (f *Front) parse(ctx *fasthttp.RequestCtx, name string) (route.Request, error) {
 	var none route.Request
-	b := f.core.Current()
-	if b == nil {
-		return none, rcode.New(rcode.NoPolicy, "this VM has no policy bundle")
-	}
-	q, err := b.Queue(name)
+	b, q, err := f.queue(name)
 	if err != nil {
 		return none, err
 	}
-	if q.Class() != policy.ClassInteractive {
-		return none, rcode.New(rcode.BadRequest, "queue %q takes jobs, not requests", name)
-	}
-	if b, err = f.core.Policy(q.Open()); err != nil {
-		return none, err
-	}
 	grant, err := b.Authorize(q, bearer(ctx))
 	if err != nil {
 		return none, err
@@ -100,20 +90,70 @@
 	if err != nil {
 		return none, err
 	}
+	again, err := repeatable(ctx)
+	if err != nil {
+		return none, err
+	}
 	mine := id != ""
 	if !mine {
 		id = uuid.Must(uuid.NewV7()).String()
 	}
-	repeatable := strings.EqualFold(string(ctx.Request.Header.Peek("X-Repeatable")), "true")
 	ct := string(ctx.Request.Header.ContentType())
 	path := "/"
 	if q := ctx.URI().QueryString(); len(q) > 0 {
 		path += "?" + string(q)
 	}
-	return route.NewRequest(id, grant, q, deadline, route.WithCallerID(mine), route.WithRepeatable(repeatable),
+	return route.NewRequest(id, grant, q, deadline, route.WithCallerID(mine), route.WithRepeatable(again),
 		route.WithPayload("POST", path, ct, append([]byte(nil), body...))), nil
 }
 
+// queue returns an interactive queue and the bundle under which its work may be
+// accepted now. The queue is taken from that same bundle: between the two reads a
+// newer one may have closed an open queue.
+func (f *Front) queue(name string) (*policy.Bundle, policy.Queue, error) {
+	var q policy.Queue
+	b := f.core.Current()
+	if b == nil {
+		return nil, q, rcode.New(rcode.NoPolicy, "this VM has no policy bundle")
+	}
+	q, err := b.Queue(name)
+	if err != nil {
+		return nil, q, err
+	}
+	open := q.Open()
+	if b, err = f.core.Policy(open); err != nil {
+		return nil, q, err
+	}
+	if q, err = b.Queue(name); err != nil {
+		return nil, q, err
+	}
+	if open && !q.Open() {
+		if b, err = f.core.Policy(false); err != nil {
+			return nil, q, err
+		}
+		if q, err = b.Queue(name); err != nil {
+			return nil, q, err
+		}
+	}
+	if q.Class() != policy.ClassInteractive {
+		return nil, q, rcode.New(rcode.BadRequest, "queue %q takes jobs, not requests", name)
+	}
+	return b, q, nil
+}
+
+// repeatable reads X-Repeatable. A word other than true and false is refused: a
+// caller that meant yes would wonder about requests that are never retried.
+func repeatable(ctx *fasthttp.RequestCtx) (bool, error) {
+	switch v := string(ctx.Request.Header.Peek("X-Repeatable")); strings.ToLower(v) {
+	case "true":
+		return true, nil
+	case "", "false":
+		return false, nil
+	default:
+		return false, rcode.New(rcode.BadRequest, "X-Repeatable %q is neither true nor false", v)
+	}
+}
+
 func (f *Front) deadline(ctx *fasthttp.RequestCtx) (time.Time, error) {
 	now := f.clk.Wall()
 	deadline, err := unixMS("X-Deadline", ctx.Request.Header.Peek("X-Deadline"))
@@ -238,7 +278,7 @@
 	if b == nil {
 		return "", rcode.New(rcode.NoPolicy, "this VM has no policy bundle")
 	}
-	if f.cfg.OperatorToken != "" && bearer(ctx) == f.cfg.OperatorToken {
+	if f.isOperator(ctx) {
 		return jobs.AnyTeam, nil
 	}
 	if bearer(ctx) == "" {
--- a/entry/front/front.go
+++ b/entry/front/front.go
@@ -13,6 +13,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"crypto/subtle"
 	"crypto/tls"
 	"encoding/json"
@@ -45,6 +46,9 @@
 	// readTimeout ends connections of callers that send too slowly.
 	readTimeout = 15 * time.Second
 	idleTimeout = 120 * time.Second
+	// writeTimeout ends connections of callers that take a response too slowly,
+	// which would otherwise hold up a shutdown.
+	writeTimeout = route.MaxLife
 	// maxConns bounds the callers' connections of one VM.
 	maxConns = 8192
 	// headerCode carries the result code of every response.
@@ -102,7 +106,7 @@
 	f.prom = fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(met.Registry(), promhttp.HandlerOpts{}))
 	f.srv = &fasthttp.Server{
 		Handler: f.handle, Name: "limpethitch", MaxRequestBodySize: maxBody, ReadBufferSize: maxHeader,
-		ReadTimeout: readTimeout, IdleTimeout: idleTimeout, Concurrency: maxConns,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: idleTimeout, Concurrency: maxConns,
 		NoDefaultServerHeader: true, CloseOnShutdown: true, ErrorHandler: f.malformed,
 		Logger: zap.NewStdLog(log.WithOptions(zap.IncreaseLevel(zap.WarnLevel))),
 	}
@@ -157,7 +161,54 @@
 	ctx.SetConnectionClose()
 }
 
+// single lists the headers that may come only once: a balancer and this VM could
+// otherwise act on different ones.
+var single = []string{"Authorization", "Idempotency-Key", "X-Deadline", "X-Repeatable", "Content-Length", "Transfer-Encoding"}
+
+// framing refuses requests whose end the balancer could see elsewhere than the
+// parser did, and repeated headers.
+func framing(ctx *fasthttp.RequestCtx) error {
+	seen := map[string]int{}
+	for _, line := range strings.Split(string(ctx.Request.Header.RawHeaders()), "\n") {
+		line, crlf := strings.CutSuffix(line, "\r")
+		name, _, _ := strings.Cut(line, ":")
+		switch {
+		case line != "" && !crlf:
+			return rcode.New(rcode.BadRequest, "a header line without a carriage return")
+		case line != "" && (line[0] == ' ' || line[0] == '\t'):
+			return rcode.New(rcode.BadRequest, "a folded header line")
+		case strings.ContainsAny(line, "\r\x00"):
+			return rcode.New(rcode.BadRequest, "a control character in a header")
+		}
+		seen[strings.ToLower(name)]++
+	}
+	for _, name := range single {
+		if seen[strings.ToLower(name)] > 1 {
+			return rcode.New(rcode.BadRequest, "%s comes more than once", name)
+		}
+	}
+	if seen["content-length"] > 0 && seen["transfer-encoding"] > 0 {
+		return rcode.New(rcode.BadRequest, "both Content-Length and Transfer-Encoding")
+	}
+	return nil
+}
+
+// handle answers one request. While the VM is draining, each response closes its
+// connection, so that the balancer's next request goes to another VM before the
+// listener closes.
 func (f *Front) handle(ctx *fasthttp.RequestCtx) {
+	if err := framing(ctx); err != nil {
+		f.fail(ctx, err)
+		ctx.SetConnectionClose()
+		return
+	}
+	f.dispatch(ctx)
+	if rcode.Is(f.core.Ready(), rcode.Draining) {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (f *Front) dispatch(ctx *fasthttp.RequestCtx) {
 	parts := strings.Split(strings.Trim(string(ctx.Path()), "/"), "/")
 	if len(parts) >= 2 && parts[0] == "v1" {
 		f.api(ctx, parts[1], parts[2:])
@@ -239,7 +290,12 @@
 	if code.Retryable() {
 		ctx.Response.Header.Set("Retry-After", retryAfterSeconds)
 	}
-	f.write(ctx, status, Failure{Code: code, Message: info.Text() + ": " + err.Error()})
+	text := info.Text() + ": " + err.Error()
+	if code == rcode.NotFound {
+		// The text of the code speaks of the store's keys, not of paths and versions.
+		text = err.Error()
+	}
+	f.write(ctx, status, Failure{Code: code, Message: text})
 	ctx.Response.Header.Set(headerCode, string(code))
 }
 
@@ -263,13 +319,20 @@
 }
 
 func (f *Front) operator(ctx *fasthttp.RequestCtx) bool {
-	if f.cfg.OperatorToken != "" && subtle.ConstantTimeCompare([]byte(bearer(ctx)), []byte(f.cfg.OperatorToken)) == 1 {
+	if f.isOperator(ctx) {
 		return true
 	}
 	f.fail(ctx, rcode.New(rcode.OperatorRefused, "the operator token is missing or wrong"))
 	return false
 }
 
+// isOperator compares hashes in constant time, so that neither the token's bytes
+// nor its length can be found by timing.
+func (f *Front) isOperator(ctx *fasthttp.RequestCtx) bool {
+	given, want := sha256.Sum256([]byte(bearer(ctx))), sha256.Sum256([]byte(f.cfg.OperatorToken))
+	return f.cfg.OperatorToken != "" && subtle.ConstantTimeCompare(given[:], want[:]) == 1
+}
+
 // unixMS reads a header or argument of unix milliseconds; 0 when it is empty.
 func unixMS(name string, raw []byte) (time.Time, error) {
 	if len(raw) == 0 {
