entry/roll: versions in order, rollouts in force only when they are

Cause: a review against I11 and I5 with a faulty store. After a lost race the loser was told its own version and author. Two adoptions at once told the cells version 2 before version 1, so that the older one stayed in use there. Fresh could pass an older bundle with its successor's proof. A rollout counted as in force without the platform's list, without a silent VM that is not listed yet, and before an older version's longer blind time had expired. The note of a rollout wrote a history line again that had been dropped. Times of first sight were kept for every version.

Change: the winner's head is returned; adoptions are serialised; proofs are dated for one bundle and kept when a newer one is adopted; the expiry carries older permissions along and takes the longest allowed one for skipped versions; only existing history lines are noted; 64 expiries are kept. Data centres out of service count while VMs of theirs are known.

--- /dev/null
+++ b/entry/roll/adopt_test.go
@@ -0,0 +1,167 @@
+package roll_test
+
+import (
+	"context"
+	"errors"
+	"runtime"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+)
+
+// Guards I11: concurrent adoptions end with the highest version, and the parts
+// that are told of each never see them out of order.
+func TestAdoptNeverGoesBack(t *testing.T) {
+	v := newVM(t, newClock(), store.NewMemory(), "dc1-a", "dc1")
+	var wg sync.WaitGroup
+	overtaken := make(chan struct{})
+	second := signed(t, 2, "ana", time.Second)
+	v.onNew = func(n int64) {
+		if n != 1 {
+			return
+		}
+		go func() {
+			defer close(overtaken)
+			_, _ = v.Adopt(second)
+		}()
+		// Gives the second version time to overtake the first one's notice. It must
+		// not, so there is no event to wait for.
+		for range 200_000 {
+			select {
+			case <-overtaken:
+				return
+			default:
+				runtime.Gosched()
+			}
+		}
+	}
+	if _, err := v.Adopt(signed(t, 1, "ana", time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	<-overtaken
+	for n := int64(3); n <= 40; n++ {
+		raw := signed(t, n, "ana", time.Second)
+		wg.Go(func() {
+			if _, err := v.Adopt(raw); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	wg.Wait()
+	for i := 1; i < len(v.taken); i++ {
+		if v.taken[i] <= v.taken[i-1] {
+			t.Fatalf("versions told: %v", v.taken)
+		}
+	}
+	if d := cmp.Diff([]int64{40, 40}, []int64{v.Version(), v.taken[len(v.taken)-1]}); d != "" {
+		t.Error(d)
+	}
+	if _, err := v.Adopt(signed(t, 3, "ana", time.Second)); err != nil || v.Version() != 40 {
+		t.Errorf("version %d, %v", v.Version(), err)
+	}
+}
+
+// serve runs the holder's loop; the returned function advances the clock and
+// waits until the loop has read the store again.
+func serve(t *testing.T, v *vm, f *flaky) func(time.Duration) {
+	t.Helper()
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- v.Serve(ctx) }()
+	t.Cleanup(func() {
+		stop()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			t.Error(err)
+		}
+	})
+	return func(d time.Duration) {
+		f.mu.Lock()
+		was := f.reads
+		f.mu.Unlock()
+		v.clk.Advance(d)
+		for {
+			f.mu.Lock()
+			now := f.reads
+			f.mu.Unlock()
+			if now > was {
+				return
+			}
+			v.clk.Advance(time.Millisecond)
+		}
+	}
+}
+
+// Guards against a stale read that takes an older version or proves it, and
+// against a VM that, started while the store is down, never gets a bundle.
+func TestStaleReadsAndLateStart(t *testing.T) {
+	clk, mem := newClock(), store.NewMemory()
+	writer := newVM(t, clk, mem, "dc1-a", "dc1")
+	publish(t, writer, 1)
+	old, err := mem.Get(t.Context(), "policy/head")
+	if err != nil {
+		t.Fatal(err)
+	}
+	publish(t, writer, 2)
+	f := &flaky{Memory: mem, down: true}
+	v := newVM(t, clk, f, "dc1-b", "dc1")
+	again := serve(t, v, f)
+	again(time.Second)
+	if _, err := v.Fresh(false); !rcode.Is(err, rcode.NoPolicy) {
+		t.Errorf("without a bundle: %v", err)
+	}
+	f.set(func(f *flaky) { f.down = false })
+	for v.Version() != 2 || v.AsOf() == 0 {
+		again(time.Second)
+	}
+	f.set(func(f *flaky) { f.stale = map[string]store.KV{"policy/head": old} })
+	again(time.Second)
+	again(time.Second)
+	proved := v.AsOf()
+	for range 3 {
+		again(time.Second)
+	}
+	if d := cmp.Diff([]int64{2, int64(proved)}, []int64{v.Version(), int64(v.AsOf())}); d != "" {
+		t.Errorf("after stale reads:\n%s", d)
+	}
+}
+
+// Guards I3 and I5 in a partition: keyed work stops after blind_ms, work of open
+// queues after blind_open_ms, and neither before.
+func TestBlind(t *testing.T) {
+	clk, mem := newClock(), store.NewMemory()
+	f := &flaky{Memory: mem}
+	v := newVM(t, clk, f, "dc1-a", "dc1")
+	publish(t, v, 1)
+	again := serve(t, v, f)
+	for v.AsOf() == 0 {
+		again(time.Second)
+	}
+	f.set(func(f *flaky) { f.down = true })
+	again(time.Second)
+	begun := v.AsOf()
+	code := func(open bool) rcode.Code {
+		_, err := v.Fresh(open)
+		return rcode.Of(err)
+	}
+	for _, s := range []struct {
+		age         time.Duration
+		keyed, open rcode.Code
+	}{
+		{5 * time.Second, rcode.OK, rcode.OK},
+		{5*time.Second + 1, rcode.PolicyStale, rcode.OK},
+		{10 * time.Second, rcode.PolicyStale, rcode.OK},
+		{10*time.Second + 1, rcode.PolicyStale, rcode.PolicyStale},
+	} {
+		if wait := begun.Add(s.age).Sub(clk.Now()); wait > 0 {
+			clk.Advance(wait)
+		}
+		if d := cmp.Diff([]rcode.Code{s.keyed, s.open}, []rcode.Code{code(false), code(true)}); d != "" {
+			t.Errorf("after %v:\n%s", s.age, d)
+		}
+	}
+}
--- a/entry/roll/publish.go
+++ b/entry/roll/publish.go
@@ -14,7 +14,6 @@
 	"limpethitch.example/core/policy"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
-	"limpethitch.example/entry/member"
 )
 
 // Publish writes a signed bundle as the next version. It returns BundleConflict
@@ -38,8 +37,8 @@
 		return head, rcode.New(rcode.BundleOlder, "the bundle has version %d, the next one is %d", b.Version(), head.Version+1)
 	}
 	next := Head{Version: b.Version(), Author: b.Author(), Comment: b.Comment(), PublishedMS: h.d.Clock.Wall().UnixMilli(), By: h.d.VM}
-	if err := h.write(ctx, next, mod, raw); err != nil {
-		return next, err
+	if winner, err := h.write(ctx, next, mod, raw); err != nil {
+		return winner, err
 	}
 	if _, err := h.Adopt(raw); err != nil {
 		return next, err
@@ -63,10 +62,11 @@
 	return head, kv.ModRevision(), nil
 }
 
-func (h *Holder) write(ctx context.Context, next Head, mod int64, raw []byte) error {
+// write returns the head to report with an error: the winner's after a lost race.
+func (h *Holder) write(ctx context.Context, next Head, mod int64, raw []byte) (Head, error) {
 	line, err := json.Marshal(next)
 	if err != nil {
-		return rcode.Wrap(err, rcode.Internal, "roll.write")
+		return next, rcode.Wrap(err, rcode.Internal, "roll.write")
 	}
 	txn := store.NewTxn().If(headKey, mod).Put(headKey, line).
 		Put(fmt.Sprintf(versionAt, next.Version), raw).Put(fmt.Sprintf(metaAt, next.Version), line)
@@ -78,32 +78,32 @@
 	}
 	res, err := h.d.Store.Commit(ctx, txn)
 	if err == nil && res.Done() {
-		return nil
+		return next, nil
 	}
 	if err != nil && rcode.Of(err).NotRun() {
-		return rcode.Wrap(err, rcode.StoreUnavailable, "roll.write")
+		return next, rcode.Wrap(err, rcode.StoreUnavailable, "roll.write")
 	}
 	return h.settle(ctx, next, raw)
 }
 
 // settle reads back after a lost reply or a lost race: the version in the store
 // is either this bundle, byte for byte, or another operator's.
-func (h *Holder) settle(ctx context.Context, next Head, raw []byte) error {
+func (h *Holder) settle(ctx context.Context, next Head, raw []byte) (Head, error) {
 	head, _, err := h.head(ctx)
 	if err != nil {
-		return rcode.Wrap(err, rcode.AcceptUnknown, "roll.settle: version %d may be published", next.Version)
+		return next, rcode.Wrap(err, rcode.AcceptUnknown, "roll.settle: version %d may be published", next.Version)
 	}
 	if head.Version < next.Version {
-		return rcode.New(rcode.AcceptUnknown, "roll.settle: version %d may still be published", next.Version)
+		return next, rcode.New(rcode.AcceptUnknown, "roll.settle: version %d may still be published", next.Version)
 	}
 	kv, err := h.d.Store.Get(ctx, fmt.Sprintf(versionAt, next.Version))
 	if err != nil {
-		return rcode.Wrap(err, rcode.AcceptUnknown, "roll.settle: version %d may be published", next.Version)
+		return next, rcode.Wrap(err, rcode.AcceptUnknown, "roll.settle: version %d may be published", next.Version)
 	}
 	if !bytes.Equal(kv.Value(), raw) {
-		return rcode.New(rcode.BundleConflict, "version %d by %s was published first", head.Version, head.Author)
+		return head, rcode.New(rcode.BundleConflict, "version %d by %s was published first", head.Version, head.Author)
 	}
-	return nil
+	return next, nil
 }
 
 // History returns the lines about the versions kept, oldest first.
@@ -172,26 +172,21 @@
 // DataCentres returns the progress in the bundle's order.
 func (r Rollout) DataCentres() []DataCentre { return r.dcs }
 
-// Rollout reports how far a version is. Data centres that do not confirm count
-// from this VM's own first sight of the version, which is not earlier than its
-// publication.
+// Rollout reports how far a version is. A data centre that does not confirm counts
+// when every permission to run on older versions has expired.
 func (h *Holder) Rollout(version int64, listed []fleet.VM) Rollout {
 	b := h.Current()
 	out := Rollout{version: version}
 	if b == nil || b.Version() < version {
 		return out
 	}
-	h.mu.Lock()
-	seen := h.seenAt[b.Version()]
-	blind := h.blind[b.Version()]
-	h.mu.Unlock()
 	now := h.d.Clock.Now()
-	until := seen.Add(blind + spread)
+	until := h.expiry(version)
 	untilMS := h.d.Clock.Wall().Add(until.Sub(now)).UnixMilli()
 	out.inForce = true
 	for _, dc := range b.DataCentres() {
 		p := DataCentre{name: dc, inService: b.InService(dc), blindMS: untilMS}
-		p.confirmed = h.confirmed(dc, version, now, listed)
+		p.confirmed = h.confirmed(dc, version, listed)
 		out.inForce = out.inForce && (p.confirmed || now >= until)
 		out.dcs = append(out.dcs, p)
 	}
@@ -199,14 +194,16 @@
 }
 
 // confirmed reports whether every entry VM of a data centre, listed by the
-// platform or heard, holds the version.
-func (h *Holder) confirmed(dc string, version int64, now clock.Mono, listed []fleet.VM) bool {
+// platform or heard, holds the version. Without the platform's list none is
+// confirmed, since VMs may be missing. A silent VM that the platform never listed
+// may be alive beyond a partition.
+func (h *Holder) confirmed(dc string, version int64, listed []fleet.VM) bool {
 	holds := map[string]bool{}
 	if dc == h.d.DataCentre {
 		holds[h.d.VM] = h.Version() >= version
 	}
 	for _, v := range h.d.Members.All() {
-		if v.DataCentre() == dc && (h.d.Members.IsLive(v.Name()) || v.PolicyVersion() >= version) {
+		if v.DataCentre() == dc && !v.Gone() {
 			holds[v.Name()] = v.PolicyVersion() >= version
 		}
 	}
@@ -220,13 +217,46 @@
 			return false
 		}
 	}
-	return len(holds) > 0 || now.Sub(h.firstSight(version)) > member.Forget
+	return len(holds) > 0 && len(listed) > 0
 }
 
-func (h *Holder) firstSight(version int64) clock.Mono {
+// sight is this VM's first sight of a version, which is not earlier than its
+// publication, and when the permissions to run on older versions expire.
+type sight struct{ until clock.Mono }
+
+// seeLocked notes a new version. VMs on the version before it stop when its blind
+// time has passed, VMs on yet older ones no later than they would have without
+// this version. Of versions that this VM did not hold the blind time is not
+// known, so the longest allowed one counts.
+func (h *Holder) seeLocked(now clock.Mono, old, b *policy.Bundle) {
+	blind := time.Duration(policy.MaxBlindMS) * time.Millisecond
+	until := clock.Mono(0)
+	if old != nil {
+		until = h.seen[old.Version()].until
+	}
+	if old != nil && old.Version() == b.Version()-1 {
+		blind = old.Blind()
+	}
+	if b.Version() == 1 {
+		blind = 0
+	}
+	h.seen[b.Version()] = sight{until: max(until, now.Add(blind+spread))}
+	for v := range h.seen {
+		if v <= b.Version()-sightsKept {
+			delete(h.seen, v)
+		}
+	}
+}
+
+// expiry returns when no VM may run on a version below the given one any more. A
+// version that this VM never held or has forgotten counts from the newest.
+func (h *Holder) expiry(version int64) clock.Mono {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.seenAt[version]
+	if s, ok := h.seen[version]; ok {
+		return s.until
+	}
+	return h.seen[h.Version()].until
 }
 
 // AwaitInForce notes in the history when a version is in force.
@@ -244,6 +274,12 @@
 	if err != nil {
 		return
 	}
-	// The history line is for readers; a lost write leaves the time out of it.
-	_, _ = h.d.Store.Commit(ctx, store.NewTxn().Put(fmt.Sprintf(metaAt, line.Version), body))
+	key := fmt.Sprintf(metaAt, line.Version)
+	kv, err := h.d.Store.Get(ctx, key)
+	if err != nil {
+		return
+	}
+	// The history line is for readers; a lost write leaves the time out of it. A
+	// line that the history has dropped meanwhile is not written again.
+	_, _ = h.d.Store.Commit(ctx, store.NewTxn().If(key, kv.ModRevision()).Put(key, body))
 }
--- a/entry/roll/roll.go
+++ b/entry/roll/roll.go
@@ -47,6 +47,11 @@
 	// spread bounds how long a published version takes to reach all VMs of the
 	// publishing VM's data centre: two heartbeats, a fetch and a retry.
 	spread = 3 * time.Second
+	// sightsKept bounds the versions whose expiry is remembered.
+	sightsKept = 64
+	// proofAge is the age of the peers' proofs above which a VM reads the store
+	// itself: two intervals of the relay and of the heartbeats.
+	proofAge = 3 * time.Second
 )
 
 // Head is the line about the newest version.
@@ -82,17 +87,25 @@
 	d       Deps
 	current atomic.Pointer[policy.Bundle]
 
+	// adopting keeps the calls of OnNew in the order of the versions.
+	adopting sync.Mutex
+
 	mu      sync.Mutex
 	asOf    clock.Mono
-	seenAt  map[int64]clock.Mono
-	blind   map[int64]time.Duration
-	fetch   chan string
+	seen    map[int64]sight
+	fetch   chan offer
 	storeOK bool
 }
 
+// offer is a peer that holds a newer version.
+type offer struct {
+	addr    string
+	version int64
+}
+
 // New returns a holder without a bundle.
 func New(d Deps) *Holder {
-	return &Holder{d: d, seenAt: map[int64]clock.Mono{}, blind: map[int64]time.Duration{}, fetch: make(chan string, 16)}
+	return &Holder{d: d, seen: map[int64]sight{}, fetch: make(chan offer, 16)}
 }
 
 // Current returns the newest bundle, or nil.
@@ -112,11 +125,26 @@
 	if b == nil {
 		return 0
 	}
+	return h.asOfBundle(b)
+}
+
+// asOfBundle dates the proof of one bundle, so that an older one never passes with
+// the proof of its successor. All data centres that could publish count; those
+// out of service only while VMs of theirs are known.
+func (h *Holder) asOfBundle(b *policy.Bundle) clock.Mono {
 	h.mu.Lock()
 	own := h.asOf
+	if h.current.Load() != b {
+		own = 0
+	}
 	h.mu.Unlock()
-	own = max(own, h.d.Members.PeerAsOf(b.Version()))
-	return max(own, h.d.Members.ConfirmedAsOf(b.Version(), b.DataCentres()))
+	var dcs []string
+	for _, dc := range b.DataCentres() {
+		if b.InService(dc) {
+			dcs = append(dcs, dc)
+		}
+	}
+	return h.d.Members.AsOf(b.Version(), own, dcs)
 }
 
 // StoreOK reports whether this VM's last policy read from the store succeeded.
@@ -137,7 +165,7 @@
 	if open {
 		limit = max(limit, b.BlindOpen())
 	}
-	if age := h.d.Clock.Now().Sub(h.AsOf()); age > limit {
+	if age := h.d.Clock.Now().Sub(h.asOfBundle(b)); age > limit {
 		return nil, rcode.New(rcode.PolicyStale, "policy version %d was last proved current %v ago", b.Version(), age.Round(time.Millisecond))
 	}
 	return b, nil
@@ -149,7 +177,7 @@
 		return
 	}
 	select {
-	case h.fetch <- addr:
+	case h.fetch <- offer{addr: addr, version: version}:
 	default:
 	}
 }
@@ -161,20 +189,17 @@
 	if err != nil {
 		return nil, err
 	}
+	h.adopting.Lock()
+	defer h.adopting.Unlock()
 	h.mu.Lock()
 	old := h.current.Load()
 	if old != nil && b.Version() <= old.Version() {
 		h.mu.Unlock()
 		return old, nil
 	}
-	now := h.d.Clock.Now()
-	h.seenAt[b.Version()] = now
-	h.blind[b.Version()] = b.Blind()
-	if old != nil {
-		h.blind[b.Version()] = max(old.Blind(), b.Blind())
-	}
+	h.seeLocked(h.d.Clock.Now(), old, b)
+	// The proof stays: what was current at a time had no successor then.
 	h.current.Store(b)
-	h.asOf = 0
 	h.mu.Unlock()
 	h.d.Log.Info("policy version in use", zap.Int64("version", b.Version()), zap.String("author", b.Author()))
 	if h.d.OnNew != nil {
@@ -194,8 +219,10 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case addr := <-h.fetch:
-			h.fetchFrom(ctx, addr)
+		case o := <-h.fetch:
+			if o.version > h.Version() {
+				h.fetchFrom(ctx, o.addr)
+			}
 		case <-changed:
 		case <-h.d.Clock.After(readInterval):
 		}
@@ -208,7 +235,7 @@
 	if h.d.Members.IsRelay() {
 		return true
 	}
-	return h.d.Clock.Now().Sub(h.d.Members.PeerAsOf(h.Version())) > 2*readInterval
+	return h.d.Clock.Now().Sub(h.d.Members.PeerAsOf(h.Version())) > proofAge
 }
 
 func (h *Holder) watch(ctx context.Context, changed chan<- struct{}) {
@@ -299,7 +326,9 @@
 	defer cancel()
 	m, err := h.d.Clients.Bundle(ctx, addr, &peer.BundleMessage{Version: h.Version()})
 	if err == nil && m.GetVersion() > h.Version() {
-		h.d.OnLayout(m.GetLayout())
+		if h.d.OnLayout != nil {
+			h.d.OnLayout(m.GetLayout())
+		}
 		_, err = h.Adopt(m.GetSigned())
 	}
 	if err != nil {
@@ -313,5 +342,9 @@
 	if b == nil || b.Version() <= have {
 		return &peer.BundleMessage{Version: h.Version()}
 	}
-	return &peer.BundleMessage{Version: b.Version(), Signed: b.Raw(), Layout: h.d.Layout()}
+	m := &peer.BundleMessage{Version: b.Version(), Signed: b.Raw()}
+	if h.d.Layout != nil {
+		m.Layout = h.d.Layout()
+	}
+	return m
 }
