entry/peer: tell never sent from may have arrived in every order

Cause: a message above the bound was sent, dropped by the other end with the whole connection and reported as outcome unknown; a call after Close opened a new connection that nobody closed; a silent peer held a cancelled call for the 2 s of the handshake; %#v printed the shared secret.

Change: these calls are refused before sending with PeerUnreachable, the end of the context ends the handshake, Close covers connections of calls under way.

--- a/entry/peer/auth.go
+++ b/entry/peer/auth.go
@@ -32,6 +32,9 @@
 // String hides the secret from logs.
 func (s Secret) String() string { return "[secret]" }
 
+// GoString does the same for %#v.
+func (s Secret) GoString() string { return s.String() }
+
 func (s Secret) mac(label string, parts ...[]byte) []byte {
 	h := hmac.New(sha256.New, s.key)
 	h.Write([]byte(label))
--- a/entry/peer/client.go
+++ b/entry/peer/client.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
@@ -26,6 +28,7 @@
 type Clients struct {
 	secret Secret
 	pool   *drpcpool.Pool[string, drpcpool.Conn]
+	closed atomic.Bool
 }
 
 // NewClients returns a pool without connections.
@@ -34,8 +37,12 @@
 	return &Clients{secret: secret, pool: drpcpool.New[string, drpcpool.Conn](opts)}
 }
 
-// Close closes the idle connections.
-func (c *Clients) Close() error { return c.pool.Close() }
+// Close closes the idle connections. Later calls fail as never sent; a call under
+// way ends normally and its connection is closed after it.
+func (c *Clients) Close() error {
+	c.closed.Store(true)
+	return c.pool.Close()
+}
 
 // notSent marks an error of connecting: the call never left this VM.
 type notSent struct{ err error }
@@ -48,7 +55,13 @@
 	if err != nil {
 		return nil, notSent{err}
 	}
-	if err := c.secret.handshake(conn, "client", "server"); err != nil {
+	// The end of the caller's context ends the handshake with a silent peer.
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = c.secret.handshake(conn, "client", "server")
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
 		_ = conn.Close()
 		return nil, notSent{err}
 	}
@@ -56,9 +69,13 @@
 }
 
 // call runs one RPC and states in the error's code whether it may have arrived.
-func call[Q, R any](ctx context.Context, c *Clients, addr string, req Q,
+func call[Q proto.Message, R any](ctx context.Context, c *Clients, addr string, req Q,
 	rpc func(DRPCPeerClient, context.Context, Q) (R, error),
 ) (R, error) {
+	if err := c.sendable(ctx, req); err != nil {
+		var none R
+		return none, rcode.Wrap(err, rcode.PeerUnreachable, "peer.call %s", addr)
+	}
 	dialErr := error(nil)
 	conn := c.pool.Get(ctx, addr, func(ctx context.Context, addr string) (drpcpool.Conn, error) {
 		cn, err := c.dial(ctx, addr)
@@ -66,6 +83,7 @@
 		return cn, err
 	})
 	defer func() { _ = conn.Close() }()
+	defer c.sweep()
 	out, err := rpc(NewDRPCPeerClient(drpc.Conn(conn)), ctx, req)
 	switch {
 	case err == nil:
@@ -77,6 +95,27 @@
 	}
 }
 
+// sendable refuses what would fail before it leaves this VM, or what the other end
+// would drop with the whole connection.
+func (c *Clients) sendable(ctx context.Context, req proto.Message) error {
+	switch size := proto.Size(req); {
+	case c.closed.Load():
+		return rcode.New(rcode.PeerUnreachable, "the connections are closed")
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case size > maxMessage:
+		return rcode.New(rcode.BodyTooLarge, "a message of %d bytes, more than %d", size, maxMessage)
+	}
+	return nil
+}
+
+// sweep closes the connection of a call that ended after Close.
+func (c *Clients) sweep() {
+	if c.closed.Load() {
+		_ = c.pool.Close()
+	}
+}
+
 // Serve runs a request on a shard of the VM at addr.
 func (c *Clients) Serve(ctx context.Context, addr string, req *ServeRequest) (*ServeReply, error) {
 	return call(ctx, c, addr, req, DRPCPeerClient.Serve)
