entry/meter: drop the series of teams that left the bundle

Cause: the series of every team that any bundle ever named stayed, and classes and codes from outside became labels of their own.

Change: SetTeams drops the series of teams that are no longer in the bundle, unknown classes read as other and unknown codes as internal, Team leaves out unknown teams.

--- a/entry/meter/meter.go
+++ b/entry/meter/meter.go
@@ -7,12 +7,14 @@
 //	m.Request(policy.ClassInteractive, "ana", rcode.OK, took)
 //	handler := promhttp.HandlerFor(m.Registry(), promhttp.HandlerOpts{})
 //
-// Label sets are bounded: classes are fixed, teams are those of the bundle in
-// force and any other team reads as "other".
+// Label sets are bounded: classes and codes are fixed, teams are those of the
+// bundle in force and any other team reads as "other". The series of a team end
+// when a bundle drops it.
 package meter
 
 import (
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -25,13 +27,17 @@
 
 const (
 	namespace = "limpethitch"
-	otherTeam = "other"
+	// otherLabel stands for every team and class without a label of its own.
+	otherLabel = "other"
 )
 
 // Metrics are the metrics of one VM. It is safe for concurrent use.
 type Metrics struct {
-	reg       *prometheus.Registry
-	teams     atomic.Pointer[map[string]bool]
+	reg *prometheus.Registry
+	// mu is held for reading while a team's series are written, so that none is
+	// made again after SetTeams dropped it.
+	mu        sync.RWMutex
+	teams     map[string]bool
 	requests  *prometheus.HistogramVec
 	waits     *prometheus.HistogramVec
 	codes     *prometheus.CounterVec
@@ -96,35 +102,71 @@
 	for _, n := range names {
 		set[n] = true
 	}
-	m.teams.Store(&set)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for old := range m.teams {
+		if !set[old] {
+			m.dropLocked(old)
+		}
+	}
+	m.teams = set
+}
+
+func (m *Metrics) dropLocked(team string) {
+	label := prometheus.Labels{"team": team}
+	m.requests.DeletePartialMatch(label)
+	m.waits.DeletePartialMatch(label)
+	m.codes.DeletePartialMatch(label)
+	m.running.DeletePartialMatch(label)
+	m.peak.DeletePartialMatch(label)
 }
 
-func (m *Metrics) team(name string) string {
-	if set := m.teams.Load(); set != nil && (*set)[name] {
+func (m *Metrics) teamLocked(name string) string {
+	if m.teams[name] {
 		return name
 	}
-	return otherTeam
+	return otherLabel
 }
 
+func classLabel(c policy.Class) string {
+	if slices.Contains(policy.Classes(), c) {
+		return string(c)
+	}
+	return otherLabel
+}
+
+// codeLabel reads an unknown code, as a VM with newer code may send, as Internal.
+func codeLabel(c rcode.Code) string { return string(c.Info().Code()) }
+
 // Request notes a response and how long it took.
 func (m *Metrics) Request(c policy.Class, team string, code rcode.Code, took time.Duration) {
-	team = m.team(team)
-	m.requests.WithLabelValues(string(c), team).Observe(took.Seconds())
-	m.codes.WithLabelValues(string(c), team, string(code)).Inc()
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	team = m.teamLocked(team)
+	m.requests.WithLabelValues(classLabel(c), team).Observe(took.Seconds())
+	m.codes.WithLabelValues(classLabel(c), team, codeLabel(code)).Inc()
 }
 
 // Wait notes how long a task waited for its start.
 func (m *Metrics) Wait(c policy.Class, team string, waited time.Duration) {
-	m.waits.WithLabelValues(string(c), m.team(team)).Observe(waited.Seconds())
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	m.waits.WithLabelValues(classLabel(c), m.teamLocked(team)).Observe(waited.Seconds())
 }
 
 // Start notes the result of sending a task to a worker.
 func (m *Metrics) Start(c policy.Class, code rcode.Code) {
-	m.starts.WithLabelValues(string(c), string(code)).Inc()
+	m.starts.WithLabelValues(classLabel(c), codeLabel(code)).Inc()
 }
 
-// Team sets what a team runs here and its limit across the fleet.
+// Team sets what a team runs here and its limit across the fleet. A team that is
+// not in the bundle is left out.
 func (m *Metrics) Team(name string, running, limit amount.Vec) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if !m.teams[name] {
+		return
+	}
 	set := func(g *prometheus.GaugeVec, v amount.Vec) {
 		g.WithLabelValues(name, "cpu_milli").Set(float64(v.CPUMilli()))
 		g.WithLabelValues(name, "memory_mib").Set(float64(v.MemoryMiB()))
@@ -157,5 +199,5 @@
 
 // StoreCall notes one call to the platform's store.
 func (m *Metrics) StoreCall(kind string, code rcode.Code) {
-	m.store.WithLabelValues(kind, string(code)).Inc()
+	m.store.WithLabelValues(kind, codeLabel(code)).Inc()
 }
