--- a/demo/load.go
+++ b/demo/load.go
@@ -55,6 +55,7 @@
 	code    rcode.Code
 	endMS   int64
 	cancel  bool
+	reason  string
 }
 
 // load offers all kinds of work and remembers what became of each piece.
@@ -209,6 +210,7 @@
 		}
 		if got.State != "" {
 			j.state, j.code = got.State, got.Code
+			j.reason = reasonOf(res.Body())
 			j.endMS = endOf(res.Body())
 		}
 		switch j.state {
@@ -219,6 +221,16 @@
 	}
 }
 
+func reasonOf(body []byte) string {
+	var v struct {
+		Reason string `json:"reason"`
+	}
+	if json.Unmarshal(body, &v) != nil {
+		return ""
+	}
+	return v.Reason
+}
+
 func endOf(body []byte) int64 {
 	var v struct {
 		EndedMS int64 `json:"ended_unix_ms"`
--- a/demo/report.go
+++ b/demo/report.go
@@ -96,7 +96,11 @@
 			names = append(names, j.load.Queue)
 		}
 		k.count++
-		k.states[j.state]++
+		state := j.state
+		if j.reason != "" {
+			state += " (" + j.reason + ")"
+		}
+		k.states[state]++
 		if j.state == "done" {
 			k.done++
 			k.took = append(k.took, j.endMS-j.atMS)
