--- a/entry/cell/accept.go
+++ b/entry/cell/accept.go
@@ -35,14 +35,14 @@
 	if c.frozen.Load() {
 		return nil, rcode.New(rcode.Draining, "shard %s moves to another VM", c.cfg.Shard)
 	}
-	h, fresh, err := c.enter(rec)
+	h, sub, err := c.enter(rec)
 	if err != nil {
 		return nil, err
 	}
-	if !fresh {
+	if sub == nil {
 		return c.repeat(ctx, h, rec)
 	}
-	if err := c.jour.Accept(ctx, rec); err != nil {
+	if err := sub.Wait(ctx); err != nil {
 		c.retract(h, err)
 		return nil, err
 	}
@@ -53,23 +53,29 @@
 	return h.rec.Clone(), nil
 }
 
-// enter reserves the id; fresh is false when a job has it already.
-func (c *Cell) enter(rec *jobs.Record) (h *held, fresh bool, err error) {
+// enter reserves the id and puts the record forward; there is no submission
+// when a job has the id already. Both happen under the lock, so that a cancel
+// that comes next replaces the record and not the other way round.
+func (c *Cell) enter(rec *jobs.Record) (*held, *jobs.Submission, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if h := c.jobs[rec.ID]; h != nil {
 		if h.rec.Hash != rec.Hash || h.home != "" {
-			return nil, false, rcode.New(rcode.IDReused, "id %s was used for another job", rec.ID)
+			return nil, nil, rcode.New(rcode.IDReused, "id %s was used for another job", rec.ID)
 		}
-		return h, false, nil
+		return h, nil, nil
 	}
 	if err := c.fits(rec); err != nil {
-		return nil, false, err
+		return nil, nil, err
 	}
-	h = newHeld(rec)
+	sub, err := c.jour.Propose(rec)
+	if err != nil {
+		return nil, nil, err
+	}
+	h := newHeld(rec)
 	h.asking = true // Not to be queued before it is kept.
 	c.jobs[rec.ID] = h
-	return h, true, nil
+	return h, sub, nil
 }
 
 func newHeld(rec *jobs.Record) *held {
--- a/entry/cell/remote.go
+++ b/entry/cell/remote.go
@@ -51,6 +51,7 @@
 	for _, m := range members {
 		h.remote[m] = true
 	}
+	c.jour.Update(h.rec)
 	rec := h.rec.Clone()
 	c.spawn(func() { c.offer(ctx, h, rec, shard, members) })
 }
@@ -71,7 +72,7 @@
 func (c *Cell) offer(ctx context.Context, h *held, rec *jobs.Record, shard string, members []int) {
 	octx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	err := c.jour.Keep(octx, rec)
+	err := c.jour.Await(octx, rec.ID)
 	if err == nil {
 		err = c.d.Remote.Offer(octx, shard, c.cfg.Shard, rec, members, c.d.Clock.Wall().Add(offerLife))
 	}
@@ -124,7 +125,7 @@
 	states, err := c.d.Remote.Poll(pctx, shard, c.cfg.Shard, id, members, stop, false)
 	if err == nil {
 		c.settleRemote(h, states)
-		if c.jour.Keep(pctx, c.snapshot(h)) == nil {
+		if c.jour.Await(pctx, id) == nil {
 			// Only kept results may be forgotten there; a lost call is repeated by
 			// the other shard's own expiry.
 			_, _ = c.d.Remote.Poll(pctx, shard, c.cfg.Shard, id, members, stop, true)
@@ -139,12 +140,6 @@
 	}
 }
 
-func (c *Cell) snapshot(h *held) *jobs.Record {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return h.rec.Clone()
-}
-
 func (c *Cell) settleRemote(h *held, states map[int]MemberState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/cell/start.go
+++ b/entry/cell/start.go
@@ -78,7 +78,7 @@
 		WithPayload(h.rec.Spec.Payload).WithCheckpoint(h.saved[d.Member()])
 	addr := n.vm.Addr()
 	rec := h.rec
-	mark := !rec.Spec.Repeatable && !rec.Attempted && h.home == ""
+	mark := !rec.Spec.Repeatable && h.home == ""
 	c.spawn(func() { c.send(ctx, r, task, addr, rec, mark) })
 }
 
@@ -122,12 +122,14 @@
 // the first start is sent.
 func (c *Cell) markAttempted(ctx context.Context, rec *jobs.Record) error {
 	c.mu.Lock()
-	rec.Attempted = true
-	marked := rec.Clone()
+	if !rec.Attempted {
+		rec.Attempted = true
+		c.jour.Update(rec)
+	}
 	c.mu.Unlock()
 	mctx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	return c.jour.Keep(mctx, marked)
+	return c.jour.Await(mctx, rec.ID)
 }
 
 // mayStart reports why no task of the job may start now.
--- a/entry/jobs/record.go
+++ b/entry/jobs/record.go
@@ -7,6 +7,7 @@
 //	go j.Serve(ctx)                   // flushes groups
 //	err = j.Accept(ctx, record)       // returns nil only when the record is kept
 //	j.Update(record)                  // kept with the next group
+//	err = j.Await(ctx, record.ID)     // returns once that update is kept
 //
 // A group is one compare-and-swap over the buckets that changed and the epoch
 // key of the shard, so that the late write of a former owner has no effect.
