Fix starts, leases, cancels and recovery of a shard and test them

Cause and change, each with its test in entry/cell: - An owner that continues alone has authority for up to 75 min, and the first lease of a task was as long: it is bounded by the task lease. The wall clock is read before the authority, so that a pause shortens the lease. - A start without a confirmation that the worker's list lacks counted as never run. For a job that may not be repeated it now has an unknown outcome, since a worker that restarted has lost its list. - An order to stop that was lost or came before the start was never repeated; it is while the task is listed as running. - Renewals to a worker whose replies are lost moved the end of its leases on for ever, so its tasks were never given up: they end after half a task lease. - A shard without workers counted as recovered after 4 s, and what ran on a worker listed later was started again. It waits until leases have lapsed. - A cancel during recovery said "nothing of it ran" and left the task running. - Cancelled tasks were not stopped while the policy was stale. - A job whose key was revoked was started, withdrawn and queued for ever when the bundle came before the job records. - While its data centre is out, a shard offers queued jobs to shards in service; before, they waited, since placement decides no offers then. - An offer that arrives after its deadline is refused, an offered job with a start under way is not given back, and a done report for a member that waits takes it out of the queue. - The refusal of a gang says that a gang runs within one shard.

Conclusion: the faults above are closed for the orders of events in the tests. cell reads the authority through a small interface, because owner.Authority cannot be built outside its package.

--- a/entry/cell/accept.go
+++ b/entry/cell/accept.go
@@ -89,7 +89,7 @@
 		return rcode.New(rcode.NeverFits, "no worker in service holds a task of %v", rec.Spec.Size)
 	}
 	if rec.Class == policy.ClassGang && rec.Spec.Members > holds {
-		return rcode.New(rcode.NeverFits, "the largest shard in service holds %d tasks of %v at once, the gang has %d",
+		return rcode.New(rcode.NeverFits, "a gang runs within one shard, and the largest in service holds %d tasks of %v at once, the gang has %d",
 			holds, rec.Spec.Size, rec.Spec.Members)
 	}
 	b := c.d.Current()
@@ -160,6 +160,9 @@
 	}
 	h.rec.State, h.rec.Code, h.rec.Reason = s, code, reason
 	h.rec.EndedMS = c.d.Clock.Wall().UnixMilli()
+	if h.added {
+		c.pl.Cancel(h.rec.ID)
+	}
 	h.added = false
 	close(h.done)
 	if h.home == "" {
@@ -214,10 +217,17 @@
 
 // stopLocked ends a job and whatever runs of it.
 func (c *Cell) stopLocked(h *held, s jobs.State, code rcode.Code, reason string) {
-	untouched := h.rec.State == jobs.StateWaiting && len(h.remote) == 0
-	if h.added {
-		untouched = c.pl.Cancel(h.rec.ID) && untouched
-	}
+	// What a former owner started of a job may not be known yet or may have
+	// ended without a trace; only a job that may not be repeated is marked.
+	untouched := h.rec.State == jobs.StateWaiting && len(h.remote) == 0 &&
+		(!h.loaded || !h.rec.Spec.Repeatable && !h.rec.Attempted)
+	running := c.runsOf(h) > 0
+	// A task that was taken over is known to placement before its job is.
+	if h.added || running {
+		c.pl.Cancel(h.rec.ID)
+	}
+	untouched = untouched && !running
+	h.added = false
 	switch {
 	case untouched:
 		reason += "; nothing of it ran"
@@ -229,6 +239,17 @@
 	c.wake()
 }
 
+// runsOf returns how many tasks of a job were sent or are about to be.
+func (c *Cell) runsOf(h *held) int {
+	n := 0
+	for m := range h.rec.Spec.Members {
+		if c.runs[place.TaskID(h.rec.ID, m)] != nil {
+			n++
+		}
+	}
+	return n
+}
+
 // SetPolicy takes a new bundle into force: weights, limits, service, keys.
 func (c *Cell) SetPolicy(b *policy.Bundle) {
 	for _, t := range b.Teams() {
@@ -246,7 +267,6 @@
 		shares = append(shares, place.NewTeamShare(t.Name(), t.Share()))
 	}
 	c.pl.SetTeams(shares)
-	c.pl.SetInService(b.InService(c.cfg.DataCentre))
 	c.recheckLocked(b)
 	c.wake()
 }
@@ -255,7 +275,10 @@
 // Running tasks go on: they were started under a key that held.
 func (c *Cell) recheckLocked(b *policy.Bundle) {
 	for id, h := range c.jobs {
-		if h.rec.State.Final() || (h.added && c.pl.Why(id) == place.ReasonNone) {
+		// Jobs that are not recovered or are elsewhere may run; both are checked
+		// again before a start.
+		if h.rec.State.Final() || len(h.remote) > 0 || h.loaded && !c.recovered.Load() || c.runsOf(h) > 0 ||
+			(h.added && c.pl.Why(id) == place.ReasonNone) {
 			continue
 		}
 		if err := c.permitted(b, h.rec); err != nil && h.home == "" {
@@ -274,16 +297,19 @@
 }
 
 // upkeep looks at limits, finished jobs and what may start.
-func (c *Cell) upkeep(context.Context) {
+func (c *Cell) upkeep(ctx context.Context) {
 	b, err := c.d.Policy(false)
 	wall := c.d.Clock.Wall()
 	now := c.d.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pl.SetInService(err == nil && c.inService())
+	c.serviceLocked(err == nil && c.inService())
 	if err == nil {
 		c.shedLocked(b, now)
 	}
+	if c.recovered.Load() && !c.frozen.Load() && !c.inService() {
+		c.evacuateLocked(ctx)
+	}
 	for id, h := range c.jobs {
 		if h.rec.EndedMS > 0 && wall.Sub(time.UnixMilli(h.rec.EndedMS)) > jobs.Kept {
 			delete(c.jobs, id)
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -142,6 +142,8 @@
 	startBy time.Time
 	// remote are the members that another shard may run.
 	remote map[int]bool
+	// loaded is set on jobs that a former owner may have started.
+	loaded bool
 	// added is set while the job is known to placement.
 	added bool
 	// asking is set while a delegation is being arranged or polled.
@@ -163,11 +165,19 @@
 	stop     context.CancelFunc
 }
 
+// authority is the part of owner.Authority that a cell uses.
+type authority interface {
+	Valid(now clock.Mono) bool
+	Until() clock.Mono
+	Mode() owner.Mode
+}
+
 // Cell runs one shard for one ownership. It is safe for concurrent use.
 type Cell struct {
 	cfg  Config
 	d    Deps
 	how  owner.How
+	auth func() authority
 	jour *jobs.Journal
 	led  *ledger
 	mov  *quota.Mover
@@ -192,6 +202,8 @@
 	orphans map[string]map[int]MemberState
 	ctx     context.Context
 	version int64
+	// out is set while placement was told that nothing may start.
+	out bool
 }
 
 // New returns the runtime of a shard that this VM took by how.
@@ -202,6 +214,7 @@
 		orphans: map[string]map[int]MemberState{},
 	}
 	c.d.Log = d.Log.With(zap.String("shard", cfg.Shard), zap.Int64("epoch", epoch))
+	c.auth = func() authority { return d.Authority() }
 	c.led = newLedger(c)
 	rng := rand.New(rand.NewSource(int64(d.Seed)))
 	mov, err := quota.New(quota.Config{Shard: cfg.Shard, EpochKey: cfg.EpochKey, Shards: cfg.Shards}, quota.Deps{
@@ -246,7 +259,12 @@
 func (c *Cell) Serve(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer c.wg.Wait()
-	defer cancel()
+	defer func() {
+		cancel()
+		// setWorkers looks at ctx under the lock before it adds goroutines.
+		c.mu.Lock()
+		defer c.mu.Unlock()
+	}()
 	c.mu.Lock()
 	c.ctx = ctx
 	c.mu.Unlock()
@@ -343,6 +361,11 @@
 }
 
 func (c *Cell) addNode(vm fleet.VM, now clock.Mono) {
+	ctx, n := c.enlist(vm, now)
+	c.spawn(func() { c.renewLoop(ctx, n) })
+}
+
+func (c *Cell) enlist(vm fleet.VM, now clock.Mono) (context.Context, *node) {
 	ctx, stop := context.WithCancel(c.ctx)
 	n := &node{vm: vm, heardAt: now, acks: map[string]string{}, stop: stop}
 	c.nodes[vm.ID()] = n
@@ -350,7 +373,7 @@
 		capacity := amount.New(vm.CPUMilli(), vm.MemoryMiB(), vm.Accelerators(), 0)
 		c.pl.PutWorker(place.NewWorkerSpec(vm.ID(), vm.Rack(), capacity), now)
 	}
-	c.spawn(func() { c.renewLoop(ctx, n) })
+	return ctx, n
 }
 
 // dropNode forgets a worker that the platform no longer lists: it has ended, and
@@ -363,7 +386,7 @@
 }
 
 // Mode returns the mode of the ownership.
-func (c *Cell) Mode() string { return string(c.d.Authority().Mode()) }
+func (c *Cell) Mode() string { return string(c.auth().Mode()) }
 
 // Summary is what other VMs are told about the shard.
 type Summary struct {
--- a/entry/cell/gate.go
+++ b/entry/cell/gate.go
@@ -57,7 +57,7 @@
 
 // Allowed implements route.Gate.
 func (g *slotGate) Allowed(req route.Request) error {
-	if !g.c.d.Authority().Valid(g.c.d.Clock.Now()) {
+	if !g.c.auth().Valid(g.c.d.Clock.Now()) {
 		return rcode.New(rcode.NotOwner, "this VM's authority over shard %s has ended", g.c.cfg.Shard)
 	}
 	if g.c.frozen.Load() {
@@ -89,7 +89,7 @@
 
 // Allowed implements route.Gate.
 func (g *idGate) Allowed(route.Request) error {
-	if !g.c.d.Authority().Valid(g.c.d.Clock.Now()) {
+	if !g.c.auth().Valid(g.c.d.Clock.Now()) {
 		return rcode.New(rcode.NotOwner, "this VM's authority over shard %s has ended", g.c.cfg.Shard)
 	}
 	if g.c.frozen.Load() {
--- a/entry/cell/recover.go
+++ b/entry/cell/recover.go
@@ -42,7 +42,7 @@
 	defer c.mu.Unlock()
 	for _, r := range records {
 		h := newHeld(r)
-		h.asking = !r.State.Final()
+		h.asking, h.loaded = !r.State.Final(), c.how != owner.HowFresh
 		if r.State.Final() {
 			close(h.done)
 		}
@@ -66,8 +66,8 @@
 			return
 		}
 	}
-	if len(c.nodes) == 0 && !fresh && now.Sub(c.began) < 2*renewEvery {
-		return // The list of workers is not in yet.
+	if len(c.nodes) == 0 && !fresh && now.Sub(c.began) <= TaskLease+2*ClockError+startTimeout {
+		return // The list of workers is not in yet; tasks may run on them.
 	}
 	c.recovered.Store(true)
 	c.mov.Recovered()
--- a/entry/cell/remote.go
+++ b/entry/cell/remote.go
@@ -56,6 +56,24 @@
 	c.spawn(func() { c.offer(ctx, h, rec, shard, members) })
 }
 
+// evacuateMax bounds the jobs that one look hands to other shards.
+const evacuateMax = 256
+
+// evacuateLocked moves queued jobs to shards in service while the data centre is
+// out of service: placement decides no offers then.
+func (c *Cell) evacuateLocked(ctx context.Context) {
+	left := evacuateMax
+	for _, h := range c.jobs {
+		if left == 0 {
+			return
+		}
+		if h.added && h.home == "" && !h.asking && c.runsOf(h) == 0 {
+			c.delegateLocked(ctx, h)
+			left--
+		}
+	}
+}
+
 // waiting lists the members that neither ended well nor run here.
 func (h *held) waiting(runs map[string]*run) []int {
 	var out []int
@@ -178,6 +196,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.d.Clock.Wall().After(startBy) {
+		return rcode.New(rcode.DeadlinePassed, "the offer of job %s arrived too late", rec.ID)
+	}
 	if h := c.jobs[rec.ID]; h != nil {
 		if h.home == home {
 			return nil // The offer arrived twice.
@@ -261,7 +282,7 @@
 // expireOffersLocked gives back offered jobs of which nothing started in time.
 func (c *Cell) expireOffersLocked(wall time.Time) {
 	for _, h := range c.jobs {
-		if h.home == "" || h.rec.State != jobs.StateWaiting || !wall.After(h.startBy) {
+		if h.home == "" || h.rec.State != jobs.StateWaiting || c.inService() && !wall.After(h.startBy) || c.runsOf(h) > 0 {
 			continue
 		}
 		if c.pl.Cancel(h.rec.ID) {
--- a/entry/cell/renew.go
+++ b/entry/cell/renew.go
@@ -17,7 +17,7 @@
 // renewLoop renews the leases of one worker's tasks and reads its list.
 func (c *Cell) renewLoop(ctx context.Context, n *node) {
 	for ctx.Err() == nil {
-		if c.d.Authority().Valid(c.d.Clock.Now()) {
+		if c.auth().Valid(c.d.Clock.Now()) {
 			c.renew(ctx, n)
 		}
 		c.mu.Lock()
@@ -37,9 +37,12 @@
 	c.mu.Lock()
 	sentAt, sentWall := c.d.Clock.Now(), c.d.Clock.Wall()
 	lease := sentWall.Add(TaskLease)
+	// Renewals without replies may arrive. They end after a while, so that the
+	// leases lapse and the tasks can be started elsewhere.
+	mute := n.listed && sentAt.Sub(n.heardAt) > TaskLease/2
 	var ids, acks []string
 	for id, r := range c.runs {
-		if r.worker == n.vm.ID() && r.state == runConfirmed {
+		if !mute && r.worker == n.vm.ID() && r.state == runConfirmed {
 			ids = append(ids, id)
 		}
 	}
@@ -48,7 +51,7 @@
 			acks = append(acks, id)
 		}
 	}
-	if len(ids) > 0 {
+	if len(ids) > 0 && lease.After(n.leaseMax) {
 		n.leaseMax = lease
 	}
 	addr := n.vm.Addr()
@@ -107,6 +110,10 @@
 		return
 	}
 	c.confirmLocked(r)
+	if r.how == place.HowStop {
+		// The order was lost, or it came before the start.
+		c.orderStop(ctx, n.vm.Addr(), r.id)
+	}
 	if s.Used() != (amount.Vec{}) {
 		c.pl.Usage(r.id, s.Used(), now)
 	}
@@ -185,6 +192,7 @@
 		}
 		c.endLocked(r, outcomeOf(s.State()))
 	case r == nil && ok && h != nil && s.State() == agent.StateDone:
+		c.pl.Ended(s.ID(), place.OutcomeDone, c.d.Clock.Now())
 		c.finishedLocked(h, member)
 	case r == nil && ok && h == nil && s.State() == agent.StateDone && !c.recoveredLongAgo():
 		// A job that another shard keeps; it asks for the result.
@@ -225,9 +233,15 @@
 			c.endLocked(r, place.OutcomeLost)
 		}
 	case runUncertain:
-		if sentWall.After(r.firstLease.Add(ClockError)) {
+		if !sentWall.After(r.firstLease.Add(ClockError)) {
+			return
+		}
+		if h := c.jobs[r.job]; h != nil && h.rec.Spec.Repeatable {
 			c.endLocked(r, place.OutcomeRefused)
+			return
 		}
+		// A worker that restarted has lost its list, so the task may have run.
+		c.endLocked(r, place.OutcomeLost)
 	case runStarting:
 	}
 }
--- a/entry/cell/start.go
+++ b/entry/cell/start.go
@@ -15,14 +15,14 @@
 
 // decide carries out what placement decides now.
 func (c *Cell) decide(ctx context.Context) {
-	if c.frozen.Load() || !c.d.Authority().Valid(c.d.Clock.Now()) {
-		return
-	}
-	if _, err := c.d.Policy(false); err != nil {
+	if c.frozen.Load() || !c.auth().Valid(c.d.Clock.Now()) {
 		return
 	}
+	// Without a current policy nothing starts, but cancelled work is stopped.
+	_, err := c.d.Policy(false)
 	for {
 		c.mu.Lock()
+		c.serviceLocked(err == nil && c.inService())
 		ds := c.pl.Decide(c.d.Clock.Now(), decideBatch)
 		n := len(ds)
 		for _, d := range ds {
@@ -67,8 +67,14 @@
 	h, n := c.jobs[d.Job()], c.nodes[d.Worker()]
 	if h == nil || n == nil || h.rec.State.Final() {
 		c.pl.Ended(d.Task(), place.OutcomeWithdrawn, c.d.Clock.Now())
+		if h == nil || h.rec.State.Final() {
+			c.pl.Cancel(d.Job())
+		}
 		return
 	}
+	// An acknowledgement of the former attempt must not take the result of this
+	// one from the worker.
+	delete(n.acks, d.Task())
 	h.attempts[d.Member()]++
 	r := &run{
 		id: d.Task(), job: d.Job(), member: d.Member(), worker: d.Worker(), class: h.rec.Class, team: h.rec.Team, state: runStarting,
@@ -95,9 +101,17 @@
 		c.withdraw(r, err)
 		return
 	}
-	auth := c.d.Authority()
-	now := c.d.Clock.Now()
-	lease := c.d.Clock.Wall().Add(auth.Until().Sub(now) - ClockError)
+	// The wall clock is read first: a pause between the two readings then
+	// shortens the lease.
+	wall := c.d.Clock.Wall()
+	auth := c.auth()
+	// An owner that continues alone has authority for longer than a successor
+	// waits for leases to lapse.
+	lease := wall.Add(min(TaskLease, auth.Until().Sub(c.d.Clock.Now())-ClockError))
+	if !lease.After(wall) {
+		c.withdraw(r, rcode.New(rcode.NotOwner, "authority ends before a lease could"))
+		return
+	}
 	c.mu.Lock()
 	if c.runs[r.id] != r || rec.State.Final() {
 		c.mu.Unlock()
@@ -134,7 +148,7 @@
 
 // mayStart reports why no task of the job may start now.
 func (c *Cell) mayStart(rec *jobs.Record) error {
-	if !c.d.Authority().Valid(c.d.Clock.Now()) {
+	if !c.auth().Valid(c.d.Clock.Now()) {
 		return rcode.New(rcode.NotOwner, "this VM's authority over shard %s has ended", c.cfg.Shard)
 	}
 	if c.frozen.Load() {
@@ -150,12 +164,39 @@
 	return c.permitted(b, rec)
 }
 
-// withdraw takes back a start that was never sent.
+// serviceLocked tells placement whether anything may start.
+func (c *Cell) serviceLocked(in bool) {
+	if c.out == in {
+		c.out = !in
+		c.pl.SetInService(in)
+	}
+}
+
+// refusedForGood reports whether a job's key or queue no longer holds.
+func refusedForGood(err error) bool {
+	switch rcode.Of(err) {
+	case rcode.KeyRefused, rcode.KeyMissing, rcode.QueueUnknown:
+		return true
+	}
+	return false
+}
+
+// withdraw takes back a start that was never sent. A job whose key was revoked
+// ends, or goes back to its home shard, which ends it.
 func (c *Cell) withdraw(r *run, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.d.Log.Debug("start withdrawn", append(logs.Err(err), zap.String("task", r.id))...)
 	c.endLocked(r, place.OutcomeWithdrawn)
+	h := c.jobs[r.job]
+	if h == nil || h.rec.State.Final() || !refusedForGood(err) || c.runsOf(h) > 0 {
+		return
+	}
+	state := jobs.StateFailed
+	if h.home != "" {
+		state = jobs.StateCancelled
+	}
+	c.stopLocked(h, state, rcode.Of(err), err.Error())
 }
 
 // sent takes in the worker's reply to a start.
