--- a/entry/cell/remote.go
+++ b/entry/cell/remote.go
@@ -51,10 +51,29 @@
 	for _, m := range members {
 		h.remote[m] = true
 	}
+	c.jour.Update(h.rec)
 	rec := h.rec.Clone()
 	c.spawn(func() { c.offer(ctx, h, rec, shard, members) })
 }
 
+// evacuateMax bounds the jobs that one look hands to other shards.
+const evacuateMax = 256
+
+// evacuateLocked moves queued jobs to shards in service while the data centre is
+// out of service: placement decides no offers then.
+func (c *Cell) evacuateLocked(ctx context.Context) {
+	left := evacuateMax
+	for _, h := range c.jobs {
+		if left == 0 {
+			return
+		}
+		if h.added && h.home == "" && !h.asking && c.runsOf(h) == 0 {
+			c.delegateLocked(ctx, h)
+			left--
+		}
+	}
+}
+
 // waiting lists the members that neither ended well nor run here.
 func (h *held) waiting(runs map[string]*run) []int {
 	var out []int
@@ -71,7 +90,7 @@
 func (c *Cell) offer(ctx context.Context, h *held, rec *jobs.Record, shard string, members []int) {
 	octx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
-	err := c.jour.Keep(octx, rec)
+	err := c.jour.Await(octx, rec.ID)
 	if err == nil {
 		err = c.d.Remote.Offer(octx, shard, c.cfg.Shard, rec, members, c.d.Clock.Wall().Add(offerLife))
 	}
@@ -124,7 +143,7 @@
 	states, err := c.d.Remote.Poll(pctx, shard, c.cfg.Shard, id, members, stop, false)
 	if err == nil {
 		c.settleRemote(h, states)
-		if c.jour.Keep(pctx, c.snapshot(h)) == nil {
+		if c.jour.Await(pctx, id) == nil {
 			// Only kept results may be forgotten there; a lost call is repeated by
 			// the other shard's own expiry.
 			_, _ = c.d.Remote.Poll(pctx, shard, c.cfg.Shard, id, members, stop, true)
@@ -139,12 +158,6 @@
 	}
 }
 
-func (c *Cell) snapshot(h *held) *jobs.Record {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return h.rec.Clone()
-}
-
 func (c *Cell) settleRemote(h *held, states map[int]MemberState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -183,6 +196,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.d.Clock.Wall().After(startBy) {
+		return rcode.New(rcode.DeadlinePassed, "the offer of job %s arrived too late", rec.ID)
+	}
 	if h := c.jobs[rec.ID]; h != nil {
 		if h.home == home {
 			return nil // The offer arrived twice.
@@ -266,7 +282,7 @@
 // expireOffersLocked gives back offered jobs of which nothing started in time.
 func (c *Cell) expireOffersLocked(wall time.Time) {
 	for _, h := range c.jobs {
-		if h.home == "" || h.rec.State != jobs.StateWaiting || !wall.After(h.startBy) {
+		if h.home == "" || h.rec.State != jobs.StateWaiting || c.inService() && !wall.After(h.startBy) || c.runsOf(h) > 0 {
 			continue
 		}
 		if c.pl.Cancel(h.rec.ID) {
