--- a/entry/place/gang.go
+++ b/entry/place/gang.go
@@ -82,16 +82,17 @@
 
 // reserveAll charges the limit for n tasks or for none.
 func (s *State) reserveAll(j *job, size amount.Vec, n int) bool {
-	for i := range n {
-		if s.reserve(j, size) {
-			continue
-		}
-		for range i {
-			s.cfg.Limiter.Free(j.team.name, size)
-		}
-		return false
+	// One charge for all members: a Limiter that gets more allotment on demand
+	// has to hear of the whole need, or a gang never starts above its idle part.
+	return s.reserve(j, scaled(size, n))
+}
+
+func scaled(v amount.Vec, n int) amount.Vec {
+	var sum amount.Vec
+	for range n {
+		sum = sum.Add(v)
 	}
-	return true
+	return sum
 }
 
 func (s *State) gangWaits(j *job, size amount.Vec, n int) bool {
