--- a/entry/owner/faults_test.go
+++ b/entry/owner/faults_test.go
@@ -198,6 +198,18 @@
 			faults: func(w *world) { w.isolate(w.vms[0]); w.run(time.Minute) },
 			bound:  takeover, want: verdict{Starters: "vm0/1 vm1/1", Epoch: 2, Mode: ModeStore},
 		},
+		"owner partitioned from everything, its successor dies": {
+			// The list shows the first owner that its standby is gone; it must not
+			// continue alone.
+			faults: func(w *world) {
+				w.isolate(w.vms[0])
+				w.unseen = w.vms[0]
+				w.run(12 * time.Second)
+				w.crash(w.vms[1])
+				w.run(time.Minute)
+			},
+			bound: 2 * takeover, want: verdict{Starters: "vm0/1 vm1/1 vm2/1", Epoch: 3, Mode: ModeStore},
+		},
 		"standby partitioned from everything, owner dies": {
 			// The third VM needs the list to show the owner and the standby.
 			faults: func(w *world) { w.isolate(w.vms[1]); w.crash(w.vms[0]); w.started = nil; w.run(time.Minute) },
--- a/entry/owner/keeper.go
+++ b/entry/owner/keeper.go
@@ -325,7 +325,9 @@
 	return r
 }
 
-// Handover makes to the owner. This VM's authority ends when the write is sent.
+// Handover makes to the owner. This VM's authority ends when the write is sent,
+// so the caller must have no start between its check of the authority and its
+// confirmation: it would be obeyed after the new owner's first one.
 // When ctx ends after that, the outcome is unknown and shows as an event.
 func (k *Keeper) Handover(ctx context.Context, to Candidate) error {
 	done := make(chan error, 1)
--- a/entry/owner/sim_test.go
+++ b/entry/owner/sim_test.go
@@ -74,6 +74,7 @@
 	seq     int64
 	events  simHeap
 	vms     []*simVM
+	unseen  *simVM // absent from the membership of the others
 	down    bool
 	lossy   bool
 	late    bool
@@ -202,7 +203,7 @@
 	var out []Candidate
 	for _, v := range w.vms {
 		died, dead := w.died[v.incarnation()]
-		if dead && w.now > died+int64(1500*time.Millisecond) {
+		if v == w.unseen || dead && w.now > died+int64(1500*time.Millisecond) {
 			continue
 		}
 		out = append(out, v.self)
--- a/entry/quota/quota.go
+++ b/entry/quota/quota.go
@@ -25,7 +25,10 @@
 // nothing.
 //
 // Every write of a shard compares the shard's epoch key, so that a former
-// owner cannot lower the part that its successor has adopted.
+// owner cannot lower the part that its successor has adopted. Without such a
+// key, as in an acting standby, no allotment is known and a team with a limit
+// starts nothing: an older copy of the record may be higher than the present
+// one.
 package quota
 
 import (
