--- a/entry/place/fault_test.go
+++ b/entry/place/fault_test.go
@@ -77,92 +77,6 @@
 	return n
 }
 
-func urgent(id string, members int) place.Job {
-	return place.NewJob(id, "counter", policy.ClassUrgent, members, quarter).WithRun(5 * time.Second).WithRepeatable(true)
-}
-
-// TestUrgentOnFullCell guards against urgent work that waits more than 6.8 s on
-// a full cell, also where tasks ignore the order to checkpoint, against victims
-// that may not run twice, and against preemption beyond a limit.
-func TestUrgentOnFullCell(t *testing.T) {
-	tests := map[string]struct {
-		repeatable, saves bool
-		limit             amount.Vec
-		want              int
-	}{
-		"checkpoints":         {true, true, standard, 4},
-		"ignores checkpoints": {true, false, standard, 4},
-		"not repeatable":      {false, true, standard, 0},
-		"at the limit":        {true, true, quarter.Add(quarter), 2},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			l := newLedger(map[string]amount.Vec{"counter": tt.limit})
-			c := newCrew(cell(place.Config{Limiter: l, Seed: 3}, 4))
-			add(t, c.s, 1, batch("b", 16, quarter).WithRun(time.Hour).WithRepeatable(tt.repeatable))
-			c.step(1)
-			add(t, c.s, second, urgent("u0", 2), urgent("u1", 1), urgent("u2", 1))
-			for now := second; now <= 7*second+second*8/10; now += second / 10 {
-				c.step(now)
-				for id, d := range c.gave {
-					if d.How() == place.HowStop || tt.saves && now >= d.By()-second {
-						c.end(id, place.OutcomeStopped, now)
-					}
-				}
-			}
-			if got := c.count("start u"); got != tt.want {
-				t.Errorf("%d of %d urgent tasks started: %v", got, tt.want, c.all)
-			}
-			if got := c.count("stop"); (got > 0) == tt.saves && tt.want > 0 {
-				t.Errorf("%d tasks were stopped", got)
-			}
-			if n := c.count("checkpoint"); n > tt.want {
-				t.Errorf("%d tasks gave way for %d", n, tt.want)
-			}
-		})
-	}
-}
-
-// TestUrgentThrottles guards against stopping work where a throttle makes room,
-// against waiting for a worker that ignores the throttle, and against tasks that
-// stay slow afterwards.
-func TestUrgentThrottles(t *testing.T) {
-	for name, obeys := range map[string]bool{"obeyed": true, "ignored": false} {
-		t.Run(name, func(t *testing.T) {
-			c := newCrew(cell(place.Config{Seed: 3}, 1))
-			thin := amount.New(8_000, 4_096, 0, 0)
-			add(t, c.s, 1, batch("b", 4, thin).WithRun(time.Hour))
-			c.step(1)
-			add(t, c.s, second, place.NewJob("u", "counter", policy.ClassUrgent, 1, thin).WithRepeatable(true))
-			for now := second; now <= 7*second+second*8/10 && c.count("start u") == 0; now += second / 10 {
-				c.step(now)
-				for _, id := range c.tasks() {
-					d, slow := c.gave[id]
-					if obeys && slow && d.How() == place.HowThrottle && now%second == 0 {
-						c.s.Usage(id, d.Size(), now)
-					}
-					if d.How() == place.HowStop {
-						c.end(id, place.OutcomeStopped, now)
-					}
-				}
-			}
-			if c.count("start u") != 1 || (c.count("checkpoint") == 0) != obeys {
-				t.Fatal(c.all)
-			}
-			if !obeys {
-				return
-			}
-			c.end("u/0", place.OutcomeDone, 20*second)
-			c.step(20 * second)
-			for _, id := range c.tasks() {
-				if diff := cmp.Diff(int64(8_000), c.gave[id].Size().CPUMilli()); diff != "" {
-					t.Error(id, diff)
-				}
-			}
-		})
-	}
-}
-
 // TestRackLost guards against services that sit in one rack and against tasks
 // of a lost rack that are never started again.
 func TestRackLost(t *testing.T) {
@@ -196,6 +110,21 @@
 	}
 }
 
+// TestRackSpread guards against services that share racks although others are
+// free, in a cell too large to look at every rack.
+func TestRackSpread(t *testing.T) {
+	c := newCrew(cell(place.Config{Seed: 1}, 600))
+	add(t, c.s, 1, place.NewJob("svc", "web", policy.ClassService, 20, quarter).WithRepeatable(true))
+	c.step(1)
+	racks := map[string]int{}
+	for _, w := range c.on {
+		racks[rackOf(w)]++
+	}
+	if len(racks) < 20 {
+		t.Errorf("20 members in %d of 75 racks", len(racks))
+	}
+}
+
 func rackOf(worker string) string {
 	var i int
 	fmt.Sscanf(worker, "w%d", &i)
@@ -405,7 +334,7 @@
 // 5 s, that loses its services first, or that loses more than it must.
 func TestLoweredLimit(t *testing.T) {
 	c := newCrew(cell(place.Config{Seed: 2}, 4))
-	add(t, c.s, 1, place.NewJob("svc", "school", policy.ClassService, 4, quarter).WithRepeatable(true), batch("b", 8, quarter))
+	add(t, c.s, 1, place.NewJob("a", "school", policy.ClassService, 4, quarter).WithRepeatable(true), batch("b", 8, quarter))
 	c.step(1)
 	c.s.Shed("school", amount.New(6*8_000, 0, 0, 0), 10*second)
 	for now := 10 * second; now <= 15*second; now += second / 10 {
@@ -419,7 +348,7 @@
 			break
 		}
 	}
-	if len(c.on) != 6 || c.count("stop svc") != 0 {
+	if len(c.on) != 6 || c.count("stop a") != 0 {
 		t.Errorf("%d run: %v", len(c.on), c.all)
 	}
 }
@@ -498,228 +427,14 @@
 	}
 	c.step(100 * second)
 	c.s.Ended("b/0", place.OutcomeLost, 5*second)
-	c.step(1)
-	if got := c.count("start"); got != 5 {
-		t.Errorf("%d starts", got)
+	got := c.step(1)
+	if len(got) != 1 {
+		t.Fatalf("decided %v", got)
+	}
+	if st, ok := got[0].(place.Start); !ok || st.RunEnd() < 160*second {
+		t.Errorf("a minute from 100 s ends at %d s", st.RunEnd()/second)
 	}
 	if _, err := c.s.CommitHold("h", place.NewJob("g", "t", policy.ClassGang, 4, quarter), 0, 2); err != nil {
 		t.Error(err)
 	}
 }
-
-// TestOutOfService guards against starts in a data centre that is out.
-func TestOutOfService(t *testing.T) {
-	s := cell(place.Config{}, 1)
-	s.SetInService(false)
-	add(t, s, 1, batch("b", 1, quarter))
-	if got := starts(s.Decide(1, 10)); len(got) > 0 || s.Hold("h", "t", quarter, 1, second) {
-		t.Errorf("started %v", got)
-	}
-	if diff := cmp.Diff(place.ReasonOut, s.Why("b")); diff != "" {
-		t.Error(diff)
-	}
-	s.SetInService(true)
-	if got := starts(s.Decide(2, 10)); len(got) != 1 {
-		t.Errorf("started %v", got)
-	}
-}
-
-// TestWhy guards against a job that waits without a reason, or the wrong one.
-func TestWhy(t *testing.T) {
-	full := func(s *place.State) { add(t, s, 1, batch("full", 4, quarter)); s.Decide(1, 10) }
-	tests := map[string]struct {
-		cfg    place.Config
-		before func(s *place.State)
-		job    place.Job
-		want   place.Reason
-	}{
-		"started": {job: batch("b", 1, quarter), want: place.ReasonNone},
-		"no room": {before: full, job: batch("b", 1, quarter), want: place.ReasonNoRoom},
-		"limit": {
-			cfg: place.Config{Limiter: newLedger(map[string]amount.Vec{"school": {}})},
-			job: batch("b", 1, quarter), want: place.ReasonLimit,
-		},
-		"unready": {
-			before: func(s *place.State) {
-				s.RemoveWorker("w0")
-				s.PutWorker(place.NewWorkerSpec("w1", "r", standard), 1)
-			},
-			job: batch("b", 1, quarter), want: place.ReasonUnready,
-		},
-		"never here": {
-			cfg: place.Config{CellCapacity: func(amount.Vec) int { return 8 }, OfferAfter: -1},
-			job: place.NewJob("b", "t", policy.ClassGang, 5, quarter), want: place.ReasonNever,
-		},
-		"reservation": {
-			before: func(s *place.State) {
-				add(t, s, 1, batch("a", 2, quarter).WithRun(time.Hour))
-				s.Decide(1, 10)
-				add(t, s, 2, place.NewJob("g", "t", policy.ClassGang, 4, quarter))
-				s.Decide(2, 10)
-			},
-			job: batch("b", 1, quarter).WithRun(2 * time.Hour), want: place.ReasonReservation,
-		},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			s := cell(tt.cfg, 1)
-			if tt.before != nil {
-				tt.before(s)
-			}
-			add(t, s, 3, tt.job)
-			s.Decide(3, 10)
-			if diff := cmp.Diff(tt.want, s.Why("b")); diff != "" {
-				t.Error(diff)
-			}
-		})
-	}
-}
-
-// TestBackfill guards against smaller work that delays a reservation, and
-// against room that stays empty although work would end before it.
-func TestBackfill(t *testing.T) {
-	s := cell(place.Config{}, 1)
-	add(t, s, 1, batch("a", 2, quarter).WithRun(time.Minute))
-	s.Decide(1, 10)
-	add(t, s, 2, place.NewJob("g", "t", policy.ClassGang, 4, quarter))
-	s.Decide(2, 10)
-	add(t, s, 3, batch("long", 1, quarter).WithRun(2*time.Minute), batch("short", 1, quarter).WithRun(30*time.Second))
-	if diff := cmp.Diff([]string{"short/0"}, starts(s.Decide(3, 10))); diff != "" {
-		t.Error(diff)
-	}
-}
-
-// TestAccelerators guards against other work that strands accelerators.
-func TestAccelerators(t *testing.T) {
-	s := cell(place.Config{}, 1)
-	s.PutWorker(place.NewWorkerSpec("acc", "r9", amount.New(32_000, 65_536, 4, 0)), 1)
-	s.Ready("acc")
-	add(t, s, 1, batch("b", 20, quarter))
-	if got := len(starts(s.Decide(1, 100))); got != 6 {
-		t.Errorf("%d tasks without accelerators started, not 4 and half of 4", got)
-	}
-	add(t, s, 2, batch("a", 2, amount.New(8_000, 16_384, 2, 0)))
-	if diff := cmp.Diff([]string{"a/0", "a/1"}, starts(s.Decide(2, 100))); diff != "" {
-		t.Error(diff)
-	}
-}
-
-// TestOffer guards against a job that starts here while another shard may have
-// taken it, and against one that is forgotten after it was declined.
-func TestOffer(t *testing.T) {
-	cell8 := func(amount.Vec) int { return 8 }
-	c := newCrew(cell(place.Config{CellCapacity: cell8, OfferAfter: 5 * time.Second}, 1))
-	add(t, c.s, 1, batch("full", 4, quarter), place.NewJob("g", "t", policy.ClassGang, 6, quarter))
-	c.step(1)
-	add(t, c.s, 1, batch("b", 1, quarter))
-	for now := second; now < 12*second; now += second {
-		c.step(now)
-	}
-	c.end("full/0", place.OutcomeDone, 12*second)
-	c.step(12 * second)
-	if diff := cmp.Diff([]int{1, 1, 0}, []int{c.count("offer b"), c.count("offer g"), c.count("start b")}); diff != "" {
-		t.Fatal(diff, c.all)
-	}
-	c.s.Declined("b", 13*second)
-	c.step(13 * second)
-	if c.count("start b") != 1 {
-		t.Error(c.all)
-	}
-	c.end("full/1", place.OutcomeDone, 14*second)
-	if !c.s.Hold("h", "t", quarter, 1, 20*second) {
-		t.Fatal("hold refused")
-	}
-	gang := place.NewJob("g", "t", policy.ClassGang, 6, quarter)
-	if _, err := c.s.CommitHold("h", gang, 0, 15*second); err != nil {
-		t.Fatal(err)
-	}
-	c.s.Elsewhere("g", 1, 5)
-	if diff := cmp.Diff(0, c.s.Len()); diff != "" {
-		t.Error(diff)
-	}
-	c.s.Ended("g/3", place.OutcomeDone, 16*second)
-	c.step(17 * second)
-	if c.count("stop g") > 0 || c.count("offer g") > 1 {
-		t.Error(c.all)
-	}
-}
-
-// TestRecovery guards against members that run or are done and start again
-// after a takeover, and against ones that are never started.
-func TestRecovery(t *testing.T) {
-	c := newCrew(place.New(place.Config{}))
-	job := batch("b", 5, quarter)
-	c.s.PutWorker(place.NewWorkerSpec("w0", "r0", standard), 1)
-	for _, m := range []int{3, 1} {
-		if err := c.s.Adopt(place.NewTask(job, m, "w0", quarter, 1, 0), 1); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := c.s.Adopt(place.NewTask(job, 1, "w0", quarter, 1, 0), 1); !rcode.Is(err, rcode.Conflict) {
-		t.Errorf("adopted twice: %v", err)
-	}
-	add(t, c.s, 1, job)
-	c.s.Ended("b/0", place.OutcomeDone, 1)
-	if got := c.step(2); len(got) > 0 {
-		t.Fatalf("decided %v before the worker was ready", got)
-	}
-	c.s.Ready("w0")
-	c.step(3)
-	c.s.Ended("b/1", place.OutcomeDone, 4)
-	c.s.Ended("b/3", place.OutcomeLost, 4)
-	c.step(5)
-	slices.Sort(c.all)
-	if diff := cmp.Diff([]string{"start b/2", "start b/3", "start b/4"}, c.all); diff != "" {
-		t.Error(diff)
-	}
-}
-
-// TestDrops guards against work that may run twice and against late starts.
-func TestDrops(t *testing.T) {
-	once := batch("b", 1, quarter).WithRepeatable(false)
-	tests := map[string]struct {
-		job  place.Job
-		ends place.Outcome
-		want []string
-	}{
-		"lost, repeatable":    {batch("b", 1, quarter), place.OutcomeLost, []string{"start b/0", "start b/0"}},
-		"lost, once":          {once, place.OutcomeLost, []string{"start b/0", "drop b LH3001"}},
-		"stopped, once":       {once, place.OutcomeStopped, []string{"start b/0", "drop b LH3001"}},
-		"failed, once":        {once, place.OutcomeFailed, []string{"start b/0", "drop b LH1010"}},
-		"refused, once":       {once, place.OutcomeRefused, []string{"start b/0", "start b/0"}},
-		"deadline has passed": {batch("b", 1, quarter).WithDeadline(1), "", []string{"drop b LH1006"}},
-	}
-	for name, tt := range tests {
-		t.Run(name, func(t *testing.T) {
-			c := newCrew(cell(place.Config{}, 2))
-			add(t, c.s, 1, tt.job)
-			c.step(2)
-			if tt.ends != "" {
-				c.end("b/0", tt.ends, 3)
-			}
-			c.step(4)
-			c.step(10 * second)
-			if diff := cmp.Diff(tt.want, c.all); diff != "" {
-				t.Error(diff)
-			}
-		})
-	}
-}
-
-// TestAllocations bounds the allocations of a start with 10,000 jobs waiting:
-// the task's id, the decision and the job's own record.
-func TestAllocations(t *testing.T) {
-	s := cell(place.Config{}, 600)
-	for i := range 13_000 {
-		add(t, s, 1, batch(fmt.Sprintf("b%d", i), 1, quarter))
-	}
-	running := starts(s.Decide(1, 10_000))
-	allocs := testing.AllocsPerRun(1000, func() {
-		s.Ended(running[0], place.OutcomeDone, 2)
-		running = running[1:]
-		s.Decide(2, 10)
-	})
-	if allocs > 4 {
-		t.Errorf("%v allocations for a start", allocs)
-	}
-}
--- a/entry/place/index.go
+++ b/entry/place/index.go
@@ -150,9 +150,6 @@
 			score += 2
 		}
 	}
-	if q.job.racks != nil {
-		score += float64(q.job.racks[w.rack])
-	}
 	return score
 }
 
--- a/entry/place/property_test.go
+++ b/entry/place/property_test.go
@@ -233,7 +233,7 @@
 	classes := []policy.Class{policy.ClassBatch, policy.ClassBatch, policy.ClassUrgent, policy.ClassService, policy.ClassGang, policy.ClassGang}
 	id := fmt.Sprintf("j%d", len(m.jobs))
 	j := place.NewJob(id, fmt.Sprintf("t%d", a%4), classes[op%len(classes)], 1+b%9,
-		amount.New(int64(a%5)*3_000, int64(b%6)*5_000, int64(a/7%8/7), 0)).
+		amount.New(int64(a%97)*137, int64(b%89)*251, int64(a/7%8/7), 0)).
 		WithKind(fmt.Sprintf("k%d", a%3)).WithRun(time.Duration(b%50) * time.Second).WithRepeatable(b%4 != 0)
 	if b%3 == 0 {
 		j = j.WithDeadline(m.now + clock.Mono(a)*clock.Mono(time.Second))
--- /dev/null
+++ b/entry/place/rules_test.go
@@ -0,0 +1,232 @@
+package place_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/policy"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/place"
+)
+
+// TestOutOfService guards against starts in a data centre that is out.
+func TestOutOfService(t *testing.T) {
+	s := cell(place.Config{}, 1)
+	s.SetInService(false)
+	add(t, s, 1, batch("b", 1, quarter))
+	if got := starts(s.Decide(1, 10)); len(got) > 0 || s.Hold("h", "t", quarter, 1, second) {
+		t.Errorf("started %v", got)
+	}
+	if diff := cmp.Diff(place.ReasonOut, s.Why("b")); diff != "" {
+		t.Error(diff)
+	}
+	s.SetInService(true)
+	if got := starts(s.Decide(2, 10)); len(got) != 1 {
+		t.Errorf("started %v", got)
+	}
+}
+
+// TestWhy guards against a job that waits without a reason, or the wrong one.
+func TestWhy(t *testing.T) {
+	full := func(s *place.State) { add(t, s, 1, batch("full", 4, quarter)); s.Decide(1, 10) }
+	tests := map[string]struct {
+		cfg    place.Config
+		before func(s *place.State)
+		job    place.Job
+		want   place.Reason
+	}{
+		"started": {job: batch("b", 1, quarter), want: place.ReasonNone},
+		"no room": {before: full, job: batch("b", 1, quarter), want: place.ReasonNoRoom},
+		"limit": {
+			cfg: place.Config{Limiter: newLedger(map[string]amount.Vec{"school": {}})},
+			job: batch("b", 1, quarter), want: place.ReasonLimit,
+		},
+		"unready": {
+			before: func(s *place.State) {
+				s.RemoveWorker("w0")
+				s.PutWorker(place.NewWorkerSpec("w1", "r", standard), 1)
+			},
+			job: batch("b", 1, quarter), want: place.ReasonUnready,
+		},
+		"never here": {
+			cfg: place.Config{CellCapacity: func(amount.Vec) int { return 8 }, OfferAfter: -1},
+			job: place.NewJob("b", "t", policy.ClassGang, 5, quarter), want: place.ReasonNever,
+		},
+		"reservation": {
+			before: func(s *place.State) {
+				add(t, s, 1, batch("a", 2, quarter).WithRun(time.Hour))
+				s.Decide(1, 10)
+				add(t, s, 2, place.NewJob("g", "t", policy.ClassGang, 4, quarter))
+				s.Decide(2, 10)
+			},
+			job: batch("b", 1, quarter).WithRun(2 * time.Hour), want: place.ReasonReservation,
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := cell(tt.cfg, 1)
+			if tt.before != nil {
+				tt.before(s)
+			}
+			add(t, s, 3, tt.job)
+			s.Decide(3, 10)
+			if diff := cmp.Diff(tt.want, s.Why("b")); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestBackfill guards against smaller work that delays a reservation, and
+// against room that stays empty although work would end before it.
+func TestBackfill(t *testing.T) {
+	s := cell(place.Config{}, 1)
+	add(t, s, 1, batch("a", 2, quarter).WithRun(time.Minute))
+	s.Decide(1, 10)
+	add(t, s, 2, place.NewJob("g", "t", policy.ClassGang, 4, quarter))
+	s.Decide(2, 10)
+	add(t, s, 3, batch("long", 1, quarter).WithRun(2*time.Minute), batch("short", 1, quarter).WithRun(30*time.Second))
+	if diff := cmp.Diff([]string{"short/0"}, starts(s.Decide(3, 10))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestAccelerators guards against other work that strands accelerators.
+func TestAccelerators(t *testing.T) {
+	s := cell(place.Config{}, 1)
+	s.PutWorker(place.NewWorkerSpec("acc", "r9", amount.New(32_000, 65_536, 4, 0)), 1)
+	s.Ready("acc")
+	add(t, s, 1, batch("b", 20, quarter))
+	if got := len(starts(s.Decide(1, 100))); got != 6 {
+		t.Errorf("%d tasks without accelerators started, not 4 and half of 4", got)
+	}
+	add(t, s, 2, batch("a", 2, amount.New(8_000, 16_384, 2, 0)))
+	if diff := cmp.Diff([]string{"a/0", "a/1"}, starts(s.Decide(2, 100))); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestOffer guards against a job that starts here while another shard may have
+// taken it, and against one that is forgotten after it was declined.
+func TestOffer(t *testing.T) {
+	cell8 := func(amount.Vec) int { return 8 }
+	c := newCrew(cell(place.Config{CellCapacity: cell8, OfferAfter: 5 * time.Second}, 1))
+	add(t, c.s, 1, batch("full", 4, quarter), place.NewJob("g", "t", policy.ClassGang, 6, quarter))
+	c.step(1)
+	add(t, c.s, 1, batch("b", 1, quarter))
+	for now := second; now < 12*second; now += second {
+		c.step(now)
+	}
+	c.end("full/0", place.OutcomeDone, 12*second)
+	c.step(12 * second)
+	if diff := cmp.Diff([]int{1, 1, 0}, []int{c.count("offer b"), c.count("offer g"), c.count("start b")}); diff != "" {
+		t.Fatal(diff, c.all)
+	}
+	c.s.Declined("b", 13*second)
+	c.step(13 * second)
+	if c.count("start b") != 1 {
+		t.Error(c.all)
+	}
+	c.end("full/1", place.OutcomeDone, 14*second)
+	if !c.s.Hold("h", "t", quarter, 1, 20*second) {
+		t.Fatal("hold refused")
+	}
+	gang := place.NewJob("g", "t", policy.ClassGang, 6, quarter)
+	if _, err := c.s.CommitHold("h", gang, 0, 15*second); err != nil {
+		t.Fatal(err)
+	}
+	c.s.Elsewhere("g", 1, 5)
+	if diff := cmp.Diff(0, c.s.Len()); diff != "" {
+		t.Error(diff)
+	}
+	c.s.Ended("g/3", place.OutcomeDone, 16*second)
+	c.step(17 * second)
+	if c.count("stop g") > 0 || c.count("offer g") > 1 {
+		t.Error(c.all)
+	}
+}
+
+// TestRecovery guards against members that run or are done and start again
+// after a takeover, and against ones that are never started.
+func TestRecovery(t *testing.T) {
+	c := newCrew(place.New(place.Config{}))
+	job := batch("b", 5, quarter)
+	c.s.PutWorker(place.NewWorkerSpec("w0", "r0", standard), 1)
+	for _, m := range []int{3, 1} {
+		if err := c.s.Adopt(place.NewTask(job, m, "w0", quarter, 1, 0), 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := c.s.Adopt(place.NewTask(job, 1, "w0", quarter, 1, 0), 1); !rcode.Is(err, rcode.Conflict) {
+		t.Errorf("adopted twice: %v", err)
+	}
+	add(t, c.s, 1, job)
+	c.s.Ended("b/0", place.OutcomeDone, 1)
+	if got := c.step(2); len(got) > 0 {
+		t.Fatalf("decided %v before the worker was ready", got)
+	}
+	c.s.Ready("w0")
+	c.step(3)
+	c.s.Ended("b/1", place.OutcomeDone, 4)
+	c.s.Ended("b/3", place.OutcomeLost, 4)
+	c.step(5)
+	slices.Sort(c.all)
+	if diff := cmp.Diff([]string{"start b/2", "start b/3", "start b/4"}, c.all); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// TestDrops guards against work that may run twice and against late starts.
+func TestDrops(t *testing.T) {
+	once := batch("b", 1, quarter).WithRepeatable(false)
+	tests := map[string]struct {
+		job  place.Job
+		ends place.Outcome
+		want []string
+	}{
+		"lost, repeatable":    {batch("b", 1, quarter), place.OutcomeLost, []string{"start b/0", "start b/0"}},
+		"lost, once":          {once, place.OutcomeLost, []string{"start b/0", "drop b LH3001"}},
+		"stopped, once":       {once, place.OutcomeStopped, []string{"start b/0", "drop b LH3001"}},
+		"failed, once":        {once, place.OutcomeFailed, []string{"start b/0", "drop b LH1010"}},
+		"refused, once":       {once, place.OutcomeRefused, []string{"start b/0", "start b/0"}},
+		"deadline has passed": {batch("b", 1, quarter).WithDeadline(1), "", []string{"drop b LH1006"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			c := newCrew(cell(place.Config{}, 2))
+			add(t, c.s, 1, tt.job)
+			c.step(2)
+			if tt.ends != "" {
+				c.end("b/0", tt.ends, 3)
+			}
+			c.step(4)
+			c.step(10 * second)
+			if diff := cmp.Diff(tt.want, c.all); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// TestAllocations bounds the allocations of a start with 10,000 jobs waiting:
+// the task's id, the decision and the job's own record.
+func TestAllocations(t *testing.T) {
+	s := cell(place.Config{}, 600)
+	for i := range 13_000 {
+		add(t, s, 1, batch(fmt.Sprintf("b%d", i), 1, quarter))
+	}
+	running := starts(s.Decide(1, 10_000))
+	allocs := testing.AllocsPerRun(1000, func() {
+		s.Ended(running[0], place.OutcomeDone, 2)
+		running = running[1:]
+		s.Decide(2, 10)
+	})
+	if allocs > 4 {
+		t.Errorf("%v allocations for a start", allocs)
+	}
+}
