Test partial gangs, cancelled urgent claims and offered gangs

Change: TestGangAllOrNone leaves room that is large enough only in sum, TestUrgentCancelled checks the limit after a cancel, TestOffer decides between the commit of a hold and Elsewhere.

Conclusion: room taken from an urgent claim and p95 of fewer than 20 values still have no test that fails without them.

--- a/entry/place/order_test.go
+++ b/entry/place/order_test.go
@@ -19,7 +19,7 @@
 	c := newCrew(cell(place.Config{}, 2))
 	add(t, c.s, 1, batch("b", 2, amount.New(4_000, 8_192, 0, 0)))
 	c.step(1)
-	add(t, c.s, 2, place.NewJob("g", "t", policy.ClassGang, 2, amount.New(30_000, 60_000, 0, 0)))
+	add(t, c.s, 2, place.NewJob("g", "t", policy.ClassGang, 2, amount.New(28_000, 57_000, 0, 0)))
 	c.step(2)
 	if got := c.count("start g"); got != 0 {
 		t.Errorf("%d of 2 members started", got)
--- a/entry/place/rules_test.go
+++ b/entry/place/rules_test.go
@@ -140,6 +140,11 @@
 	if _, err := c.s.CommitHold("h", gang, 0, 15*second); err != nil {
 		t.Fatal(err)
 	}
+	offers := c.count("offer g")
+	c.step(15 * second)
+	if got := c.count("offer g") + c.count("start g"); got != offers {
+		t.Error("an offered gang was placed again", c.all)
+	}
 	c.s.Elsewhere("g", 1, 5)
 	if diff := cmp.Diff(0, c.s.Len()); diff != "" {
 		t.Error(diff)
--- a/entry/place/urgent_test.go
+++ b/entry/place/urgent_test.go
@@ -96,3 +96,22 @@
 		})
 	}
 }
+
+// TestUrgentCancelled guards against a limit that stays charged for an urgent
+// job cancelled while tasks make room for it.
+func TestUrgentCancelled(t *testing.T) {
+	l := newLedger(nil)
+	c := newCrew(cell(place.Config{Limiter: l, Seed: 3}, 1))
+	add(t, c.s, 1, batch("b", 4, quarter).WithRun(time.Hour))
+	c.step(1)
+	add(t, c.s, second, urgent("u", 1))
+	c.step(second)
+	if l.used["counter"].IsZero() || c.count("checkpoint") != 1 {
+		t.Fatal("nothing was preempted", c.all)
+	}
+	c.s.Cancel("u")
+	c.step(2 * second)
+	if got := l.used["counter"]; !got.IsZero() {
+		t.Errorf("%v stays charged", got)
+	}
+}
