--- a/entry/place/learn.go
+++ b/entry/place/learn.go
@@ -161,3 +161,15 @@
 	t.job.est.cpu.add(t.peak.CPUMilli(), t.job.spec.size.CPUMilli())
 	t.job.est.mem.add(t.peak.MemoryMiB(), t.job.spec.size.MemoryMiB())
 }
+
+// settled returns what stays set aside for a task whose peak is known. Small
+// changes are left, since each moves the worker in the index.
+func (s *State) settled(t *task, used amount.Vec) amount.Vec {
+	want := amount.New(max(minCPU, t.peak.CPUMilli()), max(minMemory, s.margin(t.peak.MemoryMiB())),
+		t.size.Accelerators(), t.size.Requests())
+	want = want.Min(t.size).Max(used)
+	if 10*(t.size.CPUMilli()-want.CPUMilli()) < t.size.CPUMilli() && 10*(t.size.MemoryMiB()-want.MemoryMiB()) < t.size.MemoryMiB() {
+		return t.size.Max(used)
+	}
+	return want
+}
--- a/entry/place/tasks.go
+++ b/entry/place/tasks.go
@@ -198,18 +198,6 @@
 	return amount.New(cpu, v.MemoryMiB(), v.Accelerators(), v.Requests())
 }
 
-// settled returns what stays set aside for a task whose peak is known. Small
-// changes are left, since each moves the worker in the index.
-func (s *State) settled(t *task, used amount.Vec) amount.Vec {
-	want := amount.New(max(minCPU, t.peak.CPUMilli()), max(minMemory, s.margin(t.peak.MemoryMiB())),
-		t.size.Accelerators(), t.size.Requests())
-	want = want.Min(t.size).Max(used)
-	if 10*(t.size.CPUMilli()-want.CPUMilli()) < t.size.CPUMilli() && 10*(t.size.MemoryMiB()-want.MemoryMiB()) < t.size.MemoryMiB() {
-		return t.size.Max(used)
-	}
-	return want
-}
-
 // resize changes what is set aside for a running task.
 func (s *State) resize(t *task, size amount.Vec) {
 	change := size.Sub(t.size)
