--- a/entry/place/fault_test.go
+++ b/entry/place/fault_test.go
@@ -77,6 +77,7 @@
 	return n
 }
 
+<<<<<<< HEAD
 func urgent(id string, members int) place.Job {
 	return place.NewJob(id, "counter", policy.ClassUrgent, members, quarter).WithRun(5 * time.Second).WithRepeatable(true)
 }
@@ -163,6 +164,8 @@
 	}
 }
 
+=======
+>>>>>>> place
 // TestRackLost guards against services that sit in one rack and against tasks
 // of a lost rack that are never started again.
 func TestRackLost(t *testing.T) {
@@ -196,6 +199,21 @@
 	}
 }
 
+// TestRackSpread guards against services that share racks although others are
+// free, in a cell too large to look at every rack.
+func TestRackSpread(t *testing.T) {
+	c := newCrew(cell(place.Config{Seed: 1}, 600))
+	add(t, c.s, 1, place.NewJob("svc", "web", policy.ClassService, 20, quarter).WithRepeatable(true))
+	c.step(1)
+	racks := map[string]int{}
+	for _, w := range c.on {
+		racks[rackOf(w)]++
+	}
+	if len(racks) < 20 {
+		t.Errorf("20 members in %d of 75 racks", len(racks))
+	}
+}
+
 func rackOf(worker string) string {
 	var i int
 	fmt.Sscanf(worker, "w%d", &i)
@@ -405,7 +423,7 @@
 // 5 s, that loses its services first, or that loses more than it must.
 func TestLoweredLimit(t *testing.T) {
 	c := newCrew(cell(place.Config{Seed: 2}, 4))
-	add(t, c.s, 1, place.NewJob("svc", "school", policy.ClassService, 4, quarter).WithRepeatable(true), batch("b", 8, quarter))
+	add(t, c.s, 1, place.NewJob("a", "school", policy.ClassService, 4, quarter).WithRepeatable(true), batch("b", 8, quarter))
 	c.step(1)
 	c.s.Shed("school", amount.New(6*8_000, 0, 0, 0), 10*second)
 	for now := 10 * second; now <= 15*second; now += second / 10 {
@@ -419,7 +437,7 @@
 			break
 		}
 	}
-	if len(c.on) != 6 || c.count("stop svc") != 0 {
+	if len(c.on) != 6 || c.count("stop a") != 0 {
 		t.Errorf("%d run: %v", len(c.on), c.all)
 	}
 }
@@ -497,15 +515,26 @@
 		t.Fatal("hold refused")
 	}
 	c.step(100 * second)
+<<<<<<< HEAD
 	c.s.Ended("b.0", place.OutcomeLost, 5*second)
 	c.step(1)
 	if got := c.count("start"); got != 5 {
 		t.Errorf("%d starts", got)
+=======
+	c.s.Ended("b.0", place.OutcomeLost, 5*second)
+	got := c.step(1)
+	if len(got) != 1 {
+		t.Fatalf("decided %v", got)
+	}
+	if st, ok := got[0].(place.Start); !ok || st.RunEnd() < 160*second {
+		t.Errorf("a minute from 100 s ends at %d s", st.RunEnd()/second)
+>>>>>>> place
 	}
 	if _, err := c.s.CommitHold("h", place.NewJob("g", "t", policy.ClassGang, 4, quarter), 0, 2); err != nil {
 		t.Error(err)
 	}
 }
+<<<<<<< HEAD
 
 // TestOutOfService guards against starts in a data centre that is out.
 func TestOutOfService(t *testing.T) {
@@ -723,3 +752,5 @@
 		t.Errorf("%v allocations for a start", allocs)
 	}
 }
+=======
+>>>>>>> place
