Run benchmarks, slopes and the invariants' tests by make

Cause: the Makefile named bench, invariants and slopes without a rule, so docs/CAPACITY.md had no figures to rest on.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,12 @@
 
 demo: build
 	bin/demo
+
+invariants:
+	$(GO) run ./demo/invar
+
+bench:
+	$(GO) run ./demo/slopes --bench . --time 1s
+
+slopes:
+	$(GO) run ./demo/slopes
--- /dev/null
+++ b/demo/slopes/main.go
@@ -0,0 +1,118 @@
+// Command slopes runs the benchmarks whose results docs/CAPACITY.md uses, or all
+// benchmarks, and prints one table.
+//
+// # Usage
+//
+//	go run ./demo/slopes                  the slopes, from the root of the workspace
+//	go run ./demo/slopes --bench . --time 1s
+//
+// The benchmarks fix sizes, keys and sequences, so there is no seed to choose.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"runtime"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/kong"
+)
+
+type settings struct {
+	Bench    string   `help:"Pattern of the benchmarks." default:"^BenchmarkSlope|^BenchmarkOpen$" env:"SLOPES_BENCH"`
+	Time     string   `help:"Length of one benchmark, as go test takes it." default:"300ms" env:"SLOPES_TIME"`
+	Packages []string `help:"Packages to run." default:"./entry/...,./core/..." env:"SLOPES_PACKAGES"`
+}
+
+// row is one metric of one benchmark.
+type row struct{ bench, value, unit string }
+
+func main() {
+	var set settings
+	kong.Parse(&set, kong.Name("slopes"), kong.Description("Runs benchmarks and prints one table."))
+	if err := run(set); err != nil {
+		fmt.Fprintf(os.Stderr, "slopes: %v\n", err)
+		os.Exit(1)
+	}
+}
+
+func run(set settings) error {
+	// Packages run one after the other, since parallel ones disturb each other.
+	args := append([]string{"test", "-p", "1", "-run", "^$", "-bench", set.Bench, "-benchtime", set.Time}, set.Packages...)
+	fmt.Printf("command: go %s\n%s %s/%s, %d processors\n\n", strings.Join(args, " "), runtime.Version(), runtime.GOOS, runtime.GOARCH, runtime.NumCPU())
+	cmd := exec.Command("go", args...)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.Output()
+	rows := parse(out)
+	for _, r := range rows {
+		fmt.Printf("%-46s %14s  %s\n", r.bench, r.value, r.unit)
+	}
+	for _, line := range ratios(rows) {
+		fmt.Println(line)
+	}
+	if err != nil {
+		return fmt.Errorf("go test: %w\n%s", err, out)
+	}
+	if len(rows) == 0 {
+		return errors.New("no benchmark matches the pattern")
+	}
+	return nil
+}
+
+// baselines names the benchmark of the same run to which each is compared.
+var baselines = map[string]string{
+	"Churn/w600":                  "Churn/fair-best-fit-600",
+	"Churn/w4800":                 "Churn/w600",
+	"SlopeDecide/w600":            "SlopeDecide/w278",
+	"SlopeRequest/router":         "SlopeRequest/baseline",
+	"SlopeRenew/tasks-5":          "SlopeRenew/tasks-0",
+	"SlopeHeartbeat/take-relayed": "SlopeHeartbeat/take-plain",
+	"SlopeGroup/jobs-32-kept-0":   "SlopeGroup/jobs-1-kept-0",
+	"SlopeGroup/jobs-1-kept-100":  "SlopeGroup/jobs-1-kept-0",
+}
+
+// ratios compares the time for an operation with that of the baseline, where
+// both ran.
+func ratios(rows []row) []string {
+	took := map[string]float64{}
+	for _, r := range rows {
+		if v, err := strconv.ParseFloat(r.value, 64); err == nil && r.unit == "ns/op" {
+			took[r.bench] = v
+		}
+	}
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(baselines)) {
+		base := baselines[name]
+		if took[name] > 0 && took[base] > 0 {
+			out = append(out, fmt.Sprintf("%-46s %14.2f  x %s", name, took[name]/took[base], base))
+		}
+	}
+	return out
+}
+
+// parse reads the lines "BenchmarkName-10  N  value unit  value unit ...".
+func parse(out []byte) []row {
+	var rows []row
+	scan := bufio.NewScanner(bytes.NewReader(out))
+	for scan.Scan() {
+		f := strings.Fields(scan.Text())
+		if len(f) < 4 || !strings.HasPrefix(f[0], "Benchmark") {
+			continue
+		}
+		name := strings.TrimPrefix(f[0], "Benchmark")
+		if i := strings.LastIndex(name, "-"); i > 0 && strings.Trim(name[i+1:], "0123456789") == "" {
+			name = name[:i]
+		}
+		for i := 2; i+1 < len(f); i += 2 {
+			rows = append(rows, row{name, f[i], f[i+1]})
+		}
+	}
+	return rows
+}
--- /dev/null
+++ b/demo/slopes/slopes_test.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against metrics that are lost or given to another benchmark.
+func TestParse(t *testing.T) {
+	tests := map[string]struct{ line, want string }{
+		"two metrics":  {"BenchmarkA/tasks-5-10   12  3.5 ns/op  7 bytes", "[{A/tasks-5 3.5 ns/op} {A/tasks-5 7 bytes}]"},
+		"no benchmark": {"ok   limpethitch.example/entry/place 1.2s", "[]"},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, fmt.Sprint(parse([]byte(tt.line)))); diff != "" {
+				t.Errorf("-want +got:\n%s", diff)
+			}
+		})
+	}
+}
+
+// Guards against a ratio whose baseline did not run, and one turned round.
+func TestRatios(t *testing.T) {
+	rows := []row{
+		{"SlopeRequest/router", "40", "ns/op"}, {"SlopeRequest/baseline", "8", "ns/op"}, {"Churn/w600", "3", "ns/op"},
+	}
+	want := []string{fmt.Sprintf("%-46s %14.2f  x %s", "SlopeRequest/router", 5.0, "SlopeRequest/baseline")}
+	if diff := cmp.Diff(want, ratios(rows)); diff != "" {
+		t.Errorf("-want +got:\n%s", diff)
+	}
+}
--- /dev/null
+++ b/entry/jobs/slopes_test.go
@@ -0,0 +1,98 @@
+package jobs_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/policy"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/jobs"
+)
+
+func slopeRecord(i int) *jobs.Record {
+	r := &jobs.Record{
+		ID: fmt.Sprintf("0198c1f2-7d3a-7cc1-8000-%012d", i), Team: "team-of-the-plan-100", Key: "team-of-the-plan-100-key-1",
+		Class: policy.ClassBatch, Hash: "0123456789abcdef0123456789abcdef", CreatedMS: 1_800_000_000_000, State: jobs.StateWaiting,
+		Spec: jobs.Spec{Queue: "queue-team-of-the-plan-100", Size: amount.New(4_000, 8_192, 1, 0), Repeatable: true, Payload: json.RawMessage(`{"order":"0123456789"}`)},
+	}
+	r.Spec.Defaults()
+	return r
+}
+
+// BenchmarkSlopeGroup writes changed records in groups against the store in
+// memory. The bucket is empty before a group, or holds the records of 100 other
+// jobs, which every write of it repeats.
+func BenchmarkSlopeGroup(b *testing.B) {
+	const epochKey = "epoch/dc1/0"
+	for _, c := range []struct{ jobs, kept int }{{1, 0}, {32, 0}, {256, 0}, {1, 100}} {
+		b.Run(fmt.Sprintf("jobs-%d-kept-%d", c.jobs, c.kept), func(b *testing.B) {
+			st := store.NewMemoryBounded(10, 1<<20)
+			res, err := st.Commit(b.Context(), store.NewTxn().Put(epochKey, []byte("1")))
+			if err != nil {
+				b.Fatal(err)
+			}
+			fence := func() jobs.Fence { return jobs.NewFence(epochKey, res.Revision()) }
+			j := jobs.New(jobs.Config{Shard: "dc1/0"}, st, clock.New(), zap.NewNop(), fence)
+			if _, err := j.Load(b.Context()); err != nil {
+				b.Fatal(err)
+			}
+			write(b, j, 1_000_000, c.kept)
+			bytes := 0
+			for b.Loop() {
+				write(b, j, 0, c.jobs)
+				b.StopTimer()
+				bytes = stored(b, st)
+				for i := range c.jobs {
+					j.Remove(slopeRecord(i).ID)
+				}
+				write(b, j, 0, 0)
+				b.StartTimer()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*c.jobs), "ns/job")
+			b.ReportMetric(float64(bytes), "bytes/group")
+		})
+	}
+	b.Run("record", func(b *testing.B) {
+		r := slopeRecord(1)
+		var body []byte
+		for b.Loop() {
+			var err error
+			if body, err = json.Marshal(r); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(body)), "bytes")
+	})
+}
+
+// write changes n records and writes everything that is due.
+func write(b *testing.B, j *jobs.Journal, first, n int) {
+	b.Helper()
+	for i := range n {
+		j.Update(slopeRecord(first + i))
+	}
+	for before := int64(-1); before != j.Writes(); {
+		before = j.Writes()
+		if err := j.Flush(b.Context()); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func stored(b *testing.B, st *store.Memory) int {
+	b.Helper()
+	kvs, _, err := st.List(b.Context(), "jobs/dc1/0/")
+	if err != nil {
+		b.Fatal(err)
+	}
+	bytes := 0
+	for _, kv := range kvs {
+		bytes += len(kv.Value())
+	}
+	return bytes
+}
--- /dev/null
+++ b/entry/serve/slopes_test.go
@@ -0,0 +1,40 @@
+package serve
+
+import (
+	"testing"
+	"time"
+
+	"limpethitch.example/entry/owner"
+	"limpethitch.example/entry/quota"
+)
+
+// The planned size; three entry VMs for each data centre are an assumption.
+const (
+	planDataCentres = 27
+	planShards      = 2 * planDataCentres
+	planVMs         = 3 * planDataCentres
+)
+
+func perSecond(n int, every time.Duration) float64 { return float64(n) / every.Seconds() }
+
+// BenchmarkSlopeStoreCalls works out the store calls a second at the planned
+// size from the intervals in the code. Intervals with jitter count with their
+// mean.
+func BenchmarkSlopeStoreCalls(b *testing.B) {
+	var budget quota.Config
+	budget.Defaults()
+	rates := map[string]float64{
+		"renewals-w":      perSecond(planShards, owner.RenewEvery-owner.RenewEvery/40),
+		"records-r":       perSecond(planVMs, recordsEvery+recordsEvery/10),
+		"allotments-max":  perSecond(planShards, budget.CallEvery),
+		"groups-50ms-w":   perSecond(planShards, 50*time.Millisecond),
+		"groups-500ms-w":  perSecond(planShards, 500*time.Millisecond),
+		"policy-relays-r": perSecond(planDataCentres, time.Second),
+	}
+	for b.Loop() {
+		perSecond(1, time.Second)
+	}
+	for name, v := range rates {
+		b.ReportMetric(v, name)
+	}
+}
