--- a/entry/jobs/slopes_test.go
+++ b/entry/jobs/slopes_test.go
@@ -46,7 +46,7 @@
 			for b.Loop() {
 				write(b, j, 0, c.jobs)
 				b.StopTimer()
-				bytes = stored(b, st)
+				bytes = storedBytes(b, st)
 				for i := range c.jobs {
 					j.Remove(slopeRecord(i).ID)
 				}
@@ -84,7 +84,7 @@
 	}
 }
 
-func stored(b *testing.B, st *store.Memory) int {
+func storedBytes(b *testing.B, st *store.Memory) int {
 	b.Helper()
 	kvs, _, err := st.List(b.Context(), "jobs/dc1/0/")
 	if err != nil {
