--- a/entry/jobs/slopes_test.go
+++ b/entry/jobs/slopes_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"runtime"
 	"testing"
 
 	"go.uber.org/zap"
@@ -70,6 +71,25 @@
 	})
 }
 
+// BenchmarkSlopeJournal reports the memory for each record that a journal keeps.
+func BenchmarkSlopeJournal(b *testing.B) {
+	const n = 10_000
+	fence := func() jobs.Fence { return jobs.NewFence("epoch/dc1/0", 0) }
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		j := jobs.New(jobs.Config{Shard: "dc1/0"}, store.NewMemory(), clock.New(), zap.NewNop(), fence)
+		for i := range n {
+			j.Update(slopeRecord(i))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/n, "bytes/record")
+		runtime.KeepAlive(j)
+	}
+}
+
 // write changes n records and writes everything that is due.
 func write(b *testing.B, j *jobs.Journal, first, n int) {
 	b.Helper()
