Fix delegation, handover and recovery before the records are read

Cause and change, each with a test in entry/cell: - A shard that changed its owner said "none" of members that its former owner had run, so that the home shard started a job again that may not be repeated. It now says "lost"; such a job then has an unknown outcome. - After a lost reply to an offer the home shard trusted an answer that came before the offer arrived. It now waits until the offer's deadline. - Results of delegated tasks adopted at a takeover were dropped, or forgotten by the worker before the home shard kept them. They are held until the home shard acknowledges them, at most 10 min, and the table of them is cleared. - Each question about a delegated job wrote its record: only changes are. - A job taken back kept its target shard and its mark of an attempt in the store. - A delegated job that was cancelled before a takeover of its home shard was not stopped. - Import ran before the records were read and dropped all checkpoints. - A start without a confirmation at a handover may arrive after the successor read the worker's list. The state handed over says when the last one lapses, and the successor recovers after that. - Tasks adopted before the records were read gave their job a guessed description, so that its other members never started and a lost task ended it. - A shard without workers never recovered. - place.State.Ready keeps the sizes that were noted as not fitting while no worker was ready, so that they were never placed: cell puts the worker again.

--- a/entry/cell/accept.go
+++ b/entry/cell/accept.go
@@ -317,6 +317,8 @@
 		}
 	}
 	c.expireOffersLocked(wall)
+	c.clearOrphansLocked(now)
+	c.recoverLocked()
 	c.expireNodesLocked(wall)
 }
 
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -122,6 +122,8 @@
 	confirmedAt  clock.Mono
 	checkpointMS int64
 	how          place.How
+	// size is what an adopted task was started with.
+	size amount.Vec
 }
 
 // runState is how far a start is.
@@ -146,6 +148,9 @@
 	loaded bool
 	// added is set while the job is known to placement.
 	added bool
+	// offerUntil is when an offer without a reply can no longer be taken; zero
+	// once the other shard knows the job.
+	offerUntil time.Time
 	// asking is set while a delegation is being arranged or polled.
 	asking   bool
 	attempts map[int]int64
@@ -199,11 +204,15 @@
 	jobs    map[string]*held
 	runs    map[string]*run
 	nodes   map[string]*node
-	orphans map[string]map[int]MemberState
+	orphans map[string]*orphan
 	ctx     context.Context
 	version int64
 	// out is set while placement was told that nothing may start.
 	out bool
+	// imported are checkpoints from the former owner, by task.
+	imported map[string]int64
+	// holdUntil is when starts that the former owner did not settle have lapsed.
+	holdUntil time.Time
 }
 
 // New returns the runtime of a shard that this VM took by how.
@@ -211,7 +220,7 @@
 	c := &Cell{
 		cfg: cfg, d: d, how: how, epoch: epoch, began: d.Clock.Now(), poke: make(chan struct{}, 1),
 		jobs: map[string]*held{}, runs: map[string]*run{}, nodes: map[string]*node{},
-		orphans: map[string]map[int]MemberState{},
+		orphans: map[string]*orphan{},
 	}
 	c.d.Log = d.Log.With(zap.String("shard", cfg.Shard), zap.Int64("epoch", epoch))
 	c.auth = func() authority { return d.Authority() }
--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
+	"limpethitch.example/core/amount"
 	"limpethitch.example/core/clock"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
@@ -127,14 +129,19 @@
 
 // Guards against a start by an owner that wakes up after its authority ended.
 func TestPausedOwnerStartsNothing(t *testing.T) {
-	w := newWorld(t)
-	s := w.own(owner.HowFresh, "w1")
-	s.submit(job("a", true))
-	s.look()
-	w.clk.Advance(owner.Term)
-	s.decide(s.ctx)
-	s.settle()
-	is(t, 0, len(w.wrk.leases))
+	tests := map[string]time.Duration{"after its end": 0, "too late for a lease": ClockError / 2}
+	for name, left := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			s := w.own(owner.HowFresh, "w1")
+			s.submit(job("a", true))
+			s.look()
+			w.clk.Advance(owner.Term - left)
+			s.decide(s.ctx)
+			s.settle()
+			is(t, 0, len(w.wrk.leases))
+		})
+	}
 }
 
 // Guards against a second start while the first may have arrived, and against a
@@ -198,22 +205,27 @@
 // Guards against "nothing of it ran" for a job that a former owner started, and
 // against its task going on after the cancel.
 func TestCancelDuringRecovery(t *testing.T) {
-	w := newWorld(t)
-	s := w.own(owner.HowFresh, "w1", "w2")
-	s.submit(job("a", true))
-	s.look()
-	s.decide(s.ctx)
-	s.settle()
-	is(t, 1, w.wrk.running())
-	next := w.own(owner.HowTakeover, "w1", "w2")
-	for _, addr := range []string{"w1", "w2"} {
-		w.wrk.silent[addr] = w.wrk.tasks[addr] == nil
+	for name, listed := range map[string]bool{"task is listed": true, "task is not listed": false} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			s := w.own(owner.HowFresh, "w1", "w2")
+			s.submit(job("a", true))
+			s.look()
+			s.decide(s.ctx)
+			s.wg.Wait() // The record of the start is not kept.
+			is(t, 1, w.wrk.running())
+			next := w.own(owner.HowTakeover, "w1", "w2")
+			for _, addr := range []string{"w1", "w2"} {
+				w.wrk.silent[addr] = (w.wrk.tasks[addr] == nil) == listed
+			}
+			next.look()
+			rec := next.job("a", true)
+			is(t, false, strings.Contains(rec.Reason, "nothing of it ran"))
+			clear(w.wrk.silent)
+			next.steps(4, 200*time.Millisecond)
+			is(t, 0, w.wrk.running())
+		})
 	}
-	next.look()
-	rec := next.job("a", true)
-	is(t, false, strings.Contains(rec.Reason, "nothing of it ran"))
-	next.steps(4, 200*time.Millisecond)
-	is(t, 0, w.wrk.running())
 }
 
 // Guards against cancels that wait for a current policy: only starts do.
@@ -352,15 +364,21 @@
 		t.Fatal(err)
 	}
 	rec := job("a", false)
-	rec.Spec.Members = 2
+	rec.Spec.Members, rec.Spec.Size = 2, amount.New(20_000, 100, 0, 0)
 	s.submit(rec)
 	s.look()
 	g.down = true
 	ctx, cancel := context.WithCancel(s.ctx)
 	s.decide(ctx)
+	for !s.job("a", false).Attempted {
+		runtime.Gosched()
+	}
+	s.add("w2")
+	s.mu.Lock()
+	s.pl.Ready("w2")
+	s.mu.Unlock()
 	s.decide(ctx)
-	_ = s.jour.Flush(s.ctx)
-	is(t, 0, len(w.wrk.leases))
+	is(t, 2, len(s.runs))
 	cancel()
 	s.settle()
 	is(t, 0, len(w.wrk.leases))
--- a/entry/cell/fakes_test.go
+++ b/entry/cell/fakes_test.go
@@ -218,6 +218,11 @@
 	stale  bool
 	ends   clock.Mono
 	epoch  int64
+	// listFirst has lists read before the records, and state is handed over.
+	listFirst bool
+	state     []byte
+	// dc is the data centre of the shard.
+	dc string
 }
 
 func bundle(t *testing.T, version int64, inService, revoked bool) *policy.Bundle {
@@ -246,7 +251,7 @@
 func newWorld(t *testing.T) *world {
 	clk := clock.NewFake(time.Unix(1_700_000_000, 0))
 	return &world{
-		t: t, clk: clk, st: store.NewMemory(), wrk: newWorkers(clk), remote: &fakeRemote{}, bundle: bundle(t, 1, true, false),
+		t: t, clk: clk, st: store.NewMemory(), wrk: newWorkers(clk), remote: &fakeRemote{}, bundle: bundle(t, 1, true, false), dc: "dc1",
 	}
 }
 
@@ -280,7 +285,7 @@
 // own makes a new owner of the shard, with workers at the given addresses.
 func (w *world) own(how owner.How, addrs ...string) *shard {
 	w.t.Helper()
-	key, mod := "epoch/dc1/0", int64(0)
+	key, mod := "epoch/"+w.dc+"/0", int64(0)
 	if kv, err := w.st.Get(context.Background(), key); err == nil {
 		mod = kv.ModRevision()
 	}
@@ -290,7 +295,7 @@
 	}
 	w.epoch++
 	w.ends = w.clk.Now().Add(owner.Term)
-	c, err := New(Config{Shard: "dc1/0", DataCentre: "dc1", EpochKey: key}, Deps{
+	c, err := New(Config{Shard: w.dc + "/0", DataCentre: w.dc, EpochKey: key}, Deps{
 		Clock: w.clk, Log: zap.NewNop(), Store: w.st, Worker: w.wrk, Metrics: meter.New(), Remote: w.remote,
 		Policy: w.policy, Current: func() *policy.Bundle { return w.bundle },
 		Fence: res.Revision, Holds: func(amount.Vec) int { return 1000 }, Seed: 1,
@@ -303,16 +308,13 @@
 	epoch := w.epoch
 	c.auth = func() authority { return right{w: w, epoch: epoch} }
 	c.led.book.Set("ana", amount.New(1<<30, 1<<30, 0, 100), false)
-	c.mu.Lock()
-	for _, a := range addrs {
-		vm, err := fleet.Parse([]byte(fmt.Sprintf(workerDoc, a, a)))
-		if err != nil {
-			w.t.Fatal(err)
-		}
-		found, _ := vm.Find(a)
-		c.enlist(found, w.clk.Now())
+	s.add(addrs...)
+	if w.state != nil {
+		is(w.t, nil, c.Import(w.state))
+	}
+	if w.listFirst {
+		s.look()
 	}
-	c.mu.Unlock()
 	records, err := c.jour.Load(s.ctx)
 	if err != nil {
 		w.t.Fatal(err)
@@ -321,6 +323,28 @@
 	return s
 }
 
+// handed makes a new owner by a planned handover.
+func (w *world) handed(state []byte, addrs ...string) *shard {
+	w.state = state
+	defer func() { w.state = nil }()
+	return w.own(owner.HowHandover, addrs...)
+}
+
+// add puts workers on the shard's list.
+func (s *shard) add(addrs ...string) {
+	s.w.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range addrs {
+		list, err := fleet.Parse([]byte(fmt.Sprintf(workerDoc, a, a)))
+		if err != nil {
+			s.w.t.Fatal(err)
+		}
+		vm, _ := list.Find(a)
+		s.enlist(vm, s.w.clk.Now())
+	}
+}
+
 // settle writes groups until all goroutines of the cell have ended.
 func (s *shard) settle() {
 	done := make(chan struct{})
--- a/entry/cell/handover.go
+++ b/entry/cell/handover.go
@@ -7,7 +7,6 @@
 
 	"limpethitch.example/core/amount"
 	"limpethitch.example/core/rcode"
-	"limpethitch.example/entry/jobs"
 	"limpethitch.example/entry/place"
 )
 
@@ -22,6 +21,8 @@
 type handover struct {
 	IDs   [][]byte              `json:"ids"`
 	Saved map[string]checkpoint `json:"saved,omitempty"`
+	// HoldUntilMS is when the last start without a confirmation lapses.
+	HoldUntilMS int64 `json:"hold_until_unix_ms,omitempty"`
 }
 
 type checkpoint struct {
@@ -80,6 +81,16 @@
 			out.Saved[place.TaskID(id, m)] = checkpoint{MS: ms}
 		}
 	}
+	until := c.d.Clock.Wall().Add(c.auth().Until().Sub(c.d.Clock.Now()))
+	for _, r := range c.runs {
+		switch {
+		case r.state == runConfirmed:
+		case r.firstLease.IsZero():
+			out.HoldUntilMS = max(out.HoldUntilMS, until.UnixMilli())
+		default:
+			out.HoldUntilMS = max(out.HoldUntilMS, r.firstLease.UnixMilli())
+		}
+	}
 	body, err := json.Marshal(out)
 	return body, rcode.Wrap(err, rcode.Internal, "cell.Export")
 }
@@ -98,10 +109,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for task, at := range in.Saved {
-		job, member, ok := place.SplitTaskID(task)
-		if h := c.jobs[job]; ok && h != nil && member < jobs.MaxMembers {
-			h.saved[member] = max(h.saved[member], at.MS)
+		// The job records are not read yet.
+		if c.imported == nil {
+			c.imported = map[string]int64{}
 		}
+		c.imported[task] = at.MS
+	}
+	if in.HoldUntilMS > 0 {
+		// No lease is longer, whatever the other VM's clock says.
+		most := c.d.Clock.Wall().Add(TaskLease)
+		c.holdUntil = time.UnixMilli(min(in.HoldUntilMS, most.UnixMilli()))
 	}
 	return nil
 }
--- a/entry/cell/recover.go
+++ b/entry/cell/recover.go
@@ -45,14 +45,54 @@
 		h.asking, h.loaded = !r.State.Final(), c.how != owner.HowFresh
 		if r.State.Final() {
 			close(h.done)
+			if r.Delegated != "" {
+				// The other shard may not have been told to stop it.
+				c.resumeRemoteLocked(h)
+			}
 		}
 		c.jobs[r.ID] = h
 	}
+	c.renameLocked()
+	for task, ms := range c.imported {
+		job, member, ok := place.SplitTaskID(task)
+		if h := c.jobs[job]; ok && h != nil {
+			h.saved[member] = max(h.saved[member], ms)
+		}
+	}
+	c.imported = nil
 	c.loaded.Store(true)
 	c.d.Log.Info("shard read its jobs", zap.Int("jobs", len(records)), zap.String("how", string(c.how)))
 	c.recoverLocked()
 }
 
+// renameLocked tells placement what the tasks belong to that were adopted before
+// the records were read: until then their jobs have one guessed description.
+func (c *Cell) renameLocked() {
+	now := c.d.Clock.Now()
+	var known []*run
+	for _, r := range c.runs {
+		if c.jobs[r.job] != nil {
+			c.pl.Ended(r.id, place.OutcomeWithdrawn, now)
+			delete(c.runs, r.id)
+			known = append(known, r)
+		}
+	}
+	for _, r := range known {
+		h := c.jobs[r.job]
+		if h.rec.State.Final() || h.rec.IsFinished(r.member) {
+			continue // The next list shows a stray task.
+		}
+		t := place.NewTask(c.spec(h.rec), r.member, r.worker, r.size, r.confirmedAt, 0)
+		if err := c.pl.Adopt(t, now); err != nil {
+			c.d.Log.Error("task not taken over", append(logs.Err(err), zap.String("task", r.id))...)
+			continue
+		}
+		c.led.book.Adopt(r.team, r.size)
+		r.class = h.rec.Class
+		c.runs[r.id] = r
+	}
+}
+
 // recoverLocked queues the loaded jobs once it is known what of them runs: when
 // the list of every worker is in, or the worker's leases have surely lapsed.
 func (c *Cell) recoverLocked() {
@@ -69,6 +109,9 @@
 	if len(c.nodes) == 0 && !fresh && now.Sub(c.began) <= TaskLease+2*ClockError+startTimeout {
 		return // The list of workers is not in yet; tasks may run on them.
 	}
+	if c.d.Clock.Wall().Before(c.holdUntil.Add(2 * ClockError)) {
+		return // A start of the former owner may still arrive.
+	}
 	c.recovered.Store(true)
 	c.mov.Recovered()
 	for _, h := range c.jobs {
@@ -96,9 +139,3 @@
 	}
 	c.queueLocked(h)
 }
-
-// recoveredLongAgo reports whether results for other shards had their time to be
-// asked for.
-func (c *Cell) recoveredLongAgo() bool {
-	return c.d.Clock.Now().Sub(c.began) > jobs.Kept
-}
--- a/entry/cell/remote.go
+++ b/entry/cell/remote.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"limpethitch.example/core/clock"
 	"limpethitch.example/core/logs"
 	"limpethitch.example/core/policy"
 	"limpethitch.example/core/rcode"
@@ -16,19 +17,58 @@
 // MemberState is what a shard says of a member that it was offered.
 type MemberState string
 
-// States of offered members. None says that the member neither runs there nor
-// will start there.
+// States of offered members. None says that the member never ran there and will
+// not start there. Lost says that the shard does not know the member: it does not
+// run there, but may have run before the shard changed its owner.
 const (
 	MemberPending MemberState = "pending"
 	MemberDone    MemberState = "done"
 	MemberFailed  MemberState = "failed"
 	MemberUnknown MemberState = "unknown"
 	MemberNone    MemberState = "none"
+	MemberLost    MemberState = "lost"
 )
 
 // offerLife is how long an offered job may wait for its first start.
 const offerLife = 30 * time.Second
 
+// orphan is a job of another shard that ended here, and is no longer held.
+type orphan struct {
+	done map[int]bool
+	// acked is set once the home shard has kept the results.
+	acked bool
+	at    clock.Mono
+}
+
+// holdForHomeLocked reports whether the worker must remember a task that ended
+// well, since the home shard of its job may not have kept that yet.
+func (c *Cell) holdForHomeLocked(h *held, job string, member int) bool {
+	if h != nil {
+		return h.home != ""
+	}
+	now := c.d.Clock.Now()
+	o := c.orphans[job]
+	if o == nil {
+		o = &orphan{done: map[int]bool{}, at: now}
+		c.orphans[job] = o
+	}
+	if o.acked || now.Sub(o.at) > jobs.Kept {
+		return false
+	}
+	o.done[member] = true
+	return true
+}
+
+// clearOrphansLocked forgets results that nobody asked for. Before, workers are
+// told to forget them.
+func (c *Cell) clearOrphansLocked(now clock.Mono) {
+	for job, o := range c.orphans {
+		if now.Sub(o.at) > 2*jobs.Kept {
+			delete(c.orphans, job)
+		}
+	}
+}
+
 // delegateLocked offers a job that does not fit here to another shard.
 func (c *Cell) delegateLocked(ctx context.Context, h *held) {
 	now := c.d.Clock.Now()
@@ -53,7 +93,9 @@
 	}
 	c.jour.Update(h.rec)
 	rec := h.rec.Clone()
-	c.spawn(func() { c.offer(ctx, h, rec, shard, members) })
+	startBy := c.d.Clock.Wall().Add(offerLife)
+	h.offerUntil = startBy
+	c.spawn(func() { c.offer(ctx, h, rec, shard, members, startBy) })
 }
 
 // evacuateMax bounds the jobs that one look hands to other shards.
@@ -87,33 +129,42 @@
 
 // offer keeps where the job may run before it asks, so that a successor of this
 // shard's owner asks there too.
-func (c *Cell) offer(ctx context.Context, h *held, rec *jobs.Record, shard string, members []int) {
+func (c *Cell) offer(ctx context.Context, h *held, rec *jobs.Record, shard string, members []int, startBy time.Time) {
 	octx, cancel := context.WithTimeout(ctx, 5*time.Second)
 	defer cancel()
 	err := c.jour.Await(octx, rec.ID)
 	if err == nil {
-		err = c.d.Remote.Offer(octx, shard, c.cfg.Shard, rec, members, c.d.Clock.Wall().Add(offerLife))
+		err = c.d.Remote.Offer(octx, shard, c.cfg.Shard, rec, members, startBy)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.asking = false
 	if rcode.Of(err).NotRun() {
 		clear(h.remote)
-		h.rec.Delegated = ""
-		if !h.rec.Spec.Repeatable && h.rec.State == jobs.StateWaiting {
-			h.rec.Attempted = false
-		}
-		c.jour.Update(h.rec)
+		c.takeBackLocked(h)
 		c.queueLocked(h)
 		return
 	}
+	if err == nil {
+		h.offerUntil = time.Time{}
+	}
 	// A lost reply leaves the members remote: polling tells what became of them.
 	c.d.Log.Info("job offered", append(logs.Err(err), zap.String("id", rec.ID), zap.String("to", shard))...)
 }
 
+// takeBackLocked notes that what is left of a job surely did not run elsewhere.
+func (c *Cell) takeBackLocked(h *held) {
+	h.rec.Delegated, h.offerUntil = "", time.Time{}
+	if !h.rec.State.Final() {
+		h.rec.Attempted = h.rec.Attempted && h.rec.Spec.Repeatable
+	}
+	c.jour.Update(h.rec)
+}
+
 // resumeRemoteLocked goes on asking after a takeover of the home shard.
 func (c *Cell) resumeRemoteLocked(h *held) {
 	h.asking = false
+	h.offerUntil = c.d.Clock.Wall().Add(offerLife)
 	for _, m := range h.waiting(c.runs) {
 		h.remote[m] = true
 	}
@@ -141,8 +192,7 @@
 	pctx, cancel := context.WithTimeout(ctx, 2*time.Second)
 	defer cancel()
 	states, err := c.d.Remote.Poll(pctx, shard, c.cfg.Shard, id, members, stop, false)
-	if err == nil {
-		c.settleRemote(h, states)
+	if err == nil && c.settleRemote(h, states) {
 		if c.jour.Await(pctx, id) == nil {
 			// Only kept results may be forgotten there; a lost call is repeated by
 			// the other shard's own expiry.
@@ -152,19 +202,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	h.asking = false
-	if len(h.remote) == 0 && !h.rec.State.Final() {
-		h.rec.Delegated = ""
+	if len(h.remote) == 0 {
 		c.queueLocked(h)
 	}
 }
 
-func (c *Cell) settleRemote(h *held, states map[int]MemberState) {
+// settleRemote takes in what another shard said and reports whether something
+// of it has to be kept.
+func (c *Cell) settleRemote(h *held, states map[int]MemberState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	before := len(h.remote)
 	for m, s := range states {
 		if !h.remote[m] {
 			continue
 		}
+		if s != MemberLost {
+			h.offerUntil = time.Time{}
+		}
 		switch s {
 		case MemberDone:
 			delete(h.remote, m)
@@ -177,12 +232,30 @@
 			c.finalLocked(h, jobs.StateUnknown, rcode.OutcomeUnknown, "may have run on shard "+h.rec.Delegated)
 		case MemberNone:
 			delete(h.remote, m)
+		case MemberLost:
+			c.lostLocked(h, m)
 		case MemberPending:
 			if h.rec.State == jobs.StateWaiting {
 				h.rec.State = jobs.StateRunning
 			}
 		}
 	}
+	if len(h.remote) == 0 && h.rec.Delegated != "" {
+		c.takeBackLocked(h)
+	}
+	return len(h.remote) < before
+}
+
+// lostLocked takes in that the other shard does not know a member. While an
+// offer may still arrive there, the answer says nothing.
+func (c *Cell) lostLocked(h *held, m int) {
+	if !c.d.Clock.Wall().After(h.offerUntil.Add(2 * ClockError)) {
+		return
+	}
+	delete(h.remote, m)
+	if !h.rec.Spec.Repeatable {
+		c.finalLocked(h, jobs.StateUnknown, rcode.OutcomeUnknown, "may have run on shard "+h.rec.Delegated+", which changed its owner")
+	}
 }
 
 // Take accepts members of a job that another shard keeps. All members are taken
@@ -200,10 +273,14 @@
 		return rcode.New(rcode.DeadlinePassed, "the offer of job %s arrived too late", rec.ID)
 	}
 	if h := c.jobs[rec.ID]; h != nil {
-		if h.home == home {
+		switch {
+		case h.home != home:
+			return rcode.New(rcode.IDReused, "job %s is known here", rec.ID)
+		case h.rec.State != jobs.StateCancelled || c.runsOf(h) > 0:
 			return nil // The offer arrived twice.
 		}
-		return rcode.New(rcode.IDReused, "job %s is known here", rec.ID)
+		// It was given back before and is offered again.
+		delete(c.jobs, rec.ID)
 	}
 	if c.pl.Room(rec.Team, rec.Spec.Size, 1) == 0 {
 		return rcode.New(rcode.NoRoom, "shard %s has no room", c.cfg.Shard)
@@ -249,9 +326,9 @@
 	for _, m := range members {
 		out[m] = c.memberLocked(h, job, m)
 	}
-	if ack && (h == nil || h.rec.State.Final()) {
+	if ack && (h == nil && c.orphans[job] != nil || h != nil && h.rec.State.Final() && c.runsOf(h) == 0) {
 		delete(c.jobs, job)
-		delete(c.orphans, job)
+		c.orphans[job] = &orphan{acked: true, at: c.d.Clock.Now()}
 	}
 	return out, nil
 }
@@ -260,10 +337,10 @@
 	switch {
 	case c.runs[place.TaskID(job, m)] != nil:
 		return MemberPending
-	case h == nil && c.orphans[job] != nil && c.orphans[job][m] == MemberDone:
+	case h == nil && c.orphans[job] != nil && c.orphans[job].done[m]:
 		return MemberDone
 	case h == nil:
-		return MemberNone
+		return MemberLost
 	case h.rec.IsFinished(m):
 		return MemberDone
 	}
--- a/entry/cell/renew.go
+++ b/entry/cell/renew.go
@@ -8,6 +8,7 @@
 
 	"limpethitch.example/core/amount"
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/fleet"
 	"limpethitch.example/core/logs"
 	"limpethitch.example/core/policy"
 	"limpethitch.example/entry/agent"
@@ -94,6 +95,12 @@
 	n.listed, n.heardAt = true, c.d.Clock.Now()
 	if back {
 		c.pl.Ready(n.vm.ID())
+		if n.vm.State() == fleet.StateLive {
+			// Ready leaves the sizes noted as not fitting while no worker was
+			// ready; a change of the workers clears them.
+			capacity := amount.New(n.vm.CPUMilli(), n.vm.MemoryMiB(), n.vm.Accelerators(), 0)
+			c.pl.PutWorker(place.NewWorkerSpec(n.vm.ID(), n.vm.Rack(), capacity), c.d.Clock.Now())
+		}
 		c.recoverLocked()
 		c.wake()
 	}
@@ -126,11 +133,11 @@
 	}
 }
 
-// adoptLocked takes over a task that a former owner started. After the first
-// list of a worker nothing can appear there that this owner did not start.
+// adoptLocked takes over a task that a former owner started. Once the shard is
+// recovered nothing can appear on a listed worker that this owner did not start.
 func (c *Cell) adoptLocked(n *node, s agent.TaskStatus, now clock.Mono) *run {
 	job, member, ok := place.SplitTaskID(s.ID())
-	if n.listed || !ok {
+	if n.listed && c.recovered.Load() || !ok {
 		return nil
 	}
 	h := c.jobs[job]
@@ -150,7 +157,7 @@
 	c.led.book.Adopt(s.Team(), s.Size())
 	r := &run{
 		id: s.ID(), job: job, member: member, worker: n.vm.ID(), class: class, team: s.Team(),
-		state: runConfirmed, confirmedAt: now, checkpointMS: s.CheckpointMS(),
+		state: runConfirmed, confirmedAt: now, checkpointMS: s.CheckpointMS(), size: s.Size(),
 	}
 	c.runs[r.id] = r
 	if s.Lease().After(n.leaseMax) {
@@ -194,12 +201,8 @@
 	case r == nil && ok && h != nil && s.State() == agent.StateDone:
 		c.pl.Ended(s.ID(), place.OutcomeDone, c.d.Clock.Now())
 		c.finishedLocked(h, member)
-	case r == nil && ok && h == nil && s.State() == agent.StateDone && !c.recoveredLongAgo():
-		// A job that another shard keeps; it asks for the result.
-		if c.orphans[job] == nil {
-			c.orphans[job] = map[int]MemberState{}
-		}
-		c.orphans[job][member] = MemberDone
+	}
+	if ok && s.State() == agent.StateDone && c.holdForHomeLocked(h, job, member) {
 		return
 	}
 	n.acks[s.ID()] = job
--- a/entry/jobs/journal_test.go
+++ b/entry/jobs/journal_test.go
@@ -198,6 +198,21 @@
 	is(t, rcode.NotOwner, rcode.Of(err))
 }
 
+// Guards against a former owner whose write takes effect after the new owner
+// read the records: what it accepts then is overwritten.
+func TestFormerOwnerWritesNothing(t *testing.T) {
+	f := newFaulty(t)
+	j, _ := open(t, f)
+	s := propose(t, j, "a")
+	raise(t, f)
+	next, _ := open(t, f)
+	is(t, rcode.NotOwner, rcode.Of(j.Flush(context.Background())))
+	is(t, rcode.NotOwner, outcome(s))
+	propose(t, next, "b")
+	is(t, nil, next.Flush(context.Background()))
+	is(t, map[string]jobs.State{"b": jobs.StateWaiting}, stored(t, f))
+}
+
 // Guards against callers that wait for their whole deadline on a journal that no
 // longer writes.
 func TestServeAnswersWaitersAtItsEnd(t *testing.T) {
