--- a/demo/report.go
+++ b/demo/report.go
@@ -82,9 +82,9 @@
 
 func printJobs(l *load) {
 	type line struct {
-		count, done, inTime, ended int
-		states                     map[string]int
-		took                       []int64
+		count, done, inTime int
+		states              map[string]int
+		took                []int64
 	}
 	lines := map[string]*line{}
 	var names []string
