Space refused offers and test late offers, limits and failing workers

Cause: while its data centre was out, a shard offered a queued job again at each look, every 500 ms, after a refusal, with a store write for each.

Change: a refused job is offered again after 5 s. New tests: an offer that arrives late, a shard that lost a task and its memory of it, a result that must outlive the owner that saw it, a lowered limit, and a worker that fails everything. The pause in the test of leases comes before the reading of the wall clock, where it lengthens a lease that is worked out in the wrong order.

Figures: 2 offers in 20 looks (10 s); the test fails when the spacing is taken out. The tests of late offers, lost tasks, results, limits and leases fail when their rule is taken out. The test of the failing worker was not tried that way. go test -race passes for both packages.

Conclusion: a full cell costs few store writes while a data centre is out.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -151,6 +151,8 @@
 	// offerUntil is when an offer without a reply can no longer be taken; zero
 	// once the other shard knows the job.
 	offerUntil time.Time
+	// offerAt is when a job whose offer was refused is offered again.
+	offerAt clock.Mono
 	// asking is set while a delegation is being arranged or polled.
 	asking   bool
 	attempts map[int]int64
--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -93,9 +93,8 @@
 }
 
 func (p *pausing) Wall() time.Time {
-	at := p.Fake.Wall()
 	p.Advance(p.pause)
-	return at
+	return p.Fake.Wall()
 }
 
 // Guards against a lease that outlives the authority when the owner is paused
--- a/entry/cell/remote.go
+++ b/entry/cell/remote.go
@@ -109,7 +109,7 @@
 		if left == 0 {
 			return
 		}
-		if h.added && h.home == "" && !h.asking && c.runsOf(h) == 0 {
+		if h.added && h.home == "" && !h.asking && c.d.Clock.Now() >= h.offerAt && c.runsOf(h) == 0 {
 			c.delegateLocked(ctx, h)
 			left--
 		}
@@ -141,6 +141,7 @@
 	h.asking = false
 	if rcode.Of(err).NotRun() {
 		clear(h.remote)
+		h.offerAt = c.d.Clock.Now().Add(place.DefaultOfferAfter)
 		c.takeBackLocked(h)
 		c.queueLocked(h)
 		return
--- a/entry/cell/remote_test.go
+++ b/entry/cell/remote_test.go
@@ -28,6 +28,7 @@
 	p.other.clk, p.other.wrk, p.other.dc = p.home.clk, newWorkers(p.home.clk), "dc2"
 	p.home.bundle = bundle(t, 2, false, false)
 	p.at, p.to = p.home.own(owner.HowFresh, "w1"), p.other.own(owner.HowFresh, "v1", "v2")
+	p.to.step(0) // Its workers are listed.
 	r := p.home.remote
 	r.to = "dc2/0"
 	r.offer = func(rec *jobs.Record, members []int, startBy time.Time) error {
@@ -220,3 +221,110 @@
 	is(t, amount.New(60_000, 300, 0, 0) == next.led.book.Used("ana"), true)
 	w.sound()
 }
+
+// Guards against a home shard that starts a job while its offer may still
+// arrive, and against a shard that takes an offer after its deadline.
+func TestLateOffer(t *testing.T) {
+	for name, tt := range map[string]struct{ steps, home, other int }{
+		"before its deadline": {steps: 10, home: 0, other: 1},
+		"after its deadline":  {steps: 80, home: 1, other: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.offerFault = "late"
+			p.at.submit(job("a", true))
+			p.steps(2)
+			p.home.bundle = bundle(t, 3, true, false)
+			p.steps(tt.steps)
+			p.arriveLater[0]()
+			p.to.decide(p.to.ctx)
+			p.to.settle()
+			p.steps(10)
+			is(t, []int{tt.home, tt.other}, []int{p.home.wrk.running(), p.other.wrk.running()})
+		})
+	}
+}
+
+// Guards against a second run of a job that may not be repeated when the shard
+// that ran it lost both the task and its memory of it.
+func TestLostByTheOtherShard(t *testing.T) {
+	p := newPair(t)
+	p.at.submit(job("a", false))
+	p.steps(4)
+	is(t, 1, p.other.wrk.running())
+	p.lostPolls = 1000
+	p.other.wrk.tasks = map[string]map[string]*taskState{}
+	p.to = p.other.own(owner.HowTakeover, "v1", "v2")
+	p.lostPolls = 0
+	p.steps(90)
+	is(t, 1, p.starts())
+	is(t, jobs.StateUnknown, p.at.job("a", false).State)
+}
+
+// Guards against a worker that forgets a result before the home shard kept it.
+func TestResultOutlivesTheOtherOwner(t *testing.T) {
+	p := newPair(t)
+	p.at.submit(job("a", false))
+	p.steps(4)
+	p.lostPolls = 1000
+	p.other.wrk.end("a.0", agent.StateDone)
+	p.steps(10)
+	p.to = p.other.own(owner.HowTakeover, "v1", "v2")
+	p.lostPolls = 0
+	p.steps(10)
+	is(t, jobs.StateDone, p.at.job("a", false).State)
+}
+
+// Guards against a lowered limit above which work goes on.
+func TestLoweredLimitShedsTheExcess(t *testing.T) {
+	w := newWorld(t)
+	s := w.own(owner.HowFresh, "w1")
+	rec := job("a", true)
+	rec.Spec.Members = 6
+	s.submit(rec)
+	s.steps(3, 100*time.Millisecond)
+	is(t, 6, w.wrk.running())
+	s.led.book.Set("ana", amount.New(2000, 1<<20, 0, 0), false)
+	s.steps(10, 500*time.Millisecond)
+	is(t, 2, w.wrk.running())
+	is(t, true, s.led.book.Over("ana").IsZero())
+}
+
+// Guards against a worker that fails everything and against a job that is tried
+// for ever.
+func TestWorkerThatFailsEverything(t *testing.T) {
+	w := newWorld(t)
+	s := w.own(owner.HowFresh, "w1", "w2")
+	for i := range 6 {
+		s.submit(job(fmt.Sprintf("j%d", i), true))
+	}
+	for range 60 {
+		s.step(500 * time.Millisecond)
+		w.wrk.mu.Lock()
+		for addr, list := range w.wrk.tasks {
+			for _, task := range list {
+				if !task.state.Running() {
+					continue
+				}
+				task.state = agent.StateDone
+				if addr == "w1" {
+					task.state = agent.StateFailed
+				}
+			}
+		}
+		w.wrk.mu.Unlock()
+	}
+	for i := range 6 {
+		is(t, jobs.StateDone, s.job(fmt.Sprintf("j%d", i), false).State)
+	}
+	w.sound()
+}
+
+// Guards against store writes at every look while no shard takes a queued job.
+func TestRefusedOffersAreSpaced(t *testing.T) {
+	p := newPair(t)
+	p.home.remote.offer = func(*jobs.Record, []int, time.Time) error { return rcode.New(rcode.NoRoom, "full") }
+	p.at.submit(job("a", true))
+	p.steps(20)
+	is(t, 2, len(p.home.remote.offers))
+}
