Test that the loops of a shard's workers end with its cell

Cause: the test of goroutines served a cell without workers.

Change: the cell gets a worker before it ends, so that the renewal loop runs.

--- a/entry/cell/cell_test.go
+++ b/entry/cell/cell_test.go
@@ -13,6 +13,7 @@
 
 	"limpethitch.example/core/amount"
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/fleet"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/agent"
@@ -391,6 +392,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- s.Serve(ctx) }()
+	list, err := fleet.Parse([]byte(fmt.Sprintf(workerDoc, "w1", "w1")))
+	is(t, nil, err)
+	for served := false; !served; runtime.Gosched() {
+		s.mu.Lock()
+		served = s.Cell.ctx.Done() != nil
+		s.mu.Unlock()
+	}
+	s.setWorkers(list.Role(fleet.RoleWorker))
+	is(t, 1, len(s.nodes))
 	cancel()
 	<-ended
 }
