Pause an entry VM in the demo and guard a shard's summary by a test

Cause: no run stopped a process beyond its authority, and the hang by a cell's own summary had no test.

--- a/demo/faults.go
+++ b/demo/faults.go
@@ -65,7 +65,10 @@
 	f.at(ctx, 4, "kill entry VM "+victim.name, func() error { return f.kill(victim) })
 	f.at(ctx, 6, "backend server leaves", f.leave)
 	f.at(ctx, 8, "replace the killed VM under its name", func() error { return f.replace(victim) })
+	paused := f.ownerIn(dcs[2].Name)
+	f.at(ctx, 9, "pause entry VM "+paused.name+" beyond its authority", func() error { return f.pause(paused, true) })
 	f.at(ctx, 13, "store goes away", func() error { return f.store(true) })
+	f.at(ctx, 18, "the paused VM goes on", func() error { return f.pause(paused, false) })
 	f.at(ctx, 19, "store is back", func() error { return f.store(false) })
 	team := f.c.dep.Load.Interactive[2].Team
 	f.at(ctx, 20, "revoke the key of team "+team, func() error { return f.revoke(ctx, team) })
@@ -130,6 +133,15 @@
 	return err
 }
 
+// pause stops or continues a process as a paused VM does.
+func (f *faults) pause(e *entryVM, stop bool) error {
+	f.w.skip(e.name, stop)
+	if stop {
+		return e.cmd.Process.Signal(syscall.SIGSTOP)
+	}
+	return e.cmd.Process.Signal(syscall.SIGCONT)
+}
+
 func (f *faults) leave() error {
 	// The busiest one, so that the check sees its requests end.
 	most := -1
--- a/demo/watch.go
+++ b/demo/watch.go
@@ -47,12 +47,14 @@
 	// more may reach it.
 	leftRuns int
 	left     bool
+	// paused are VMs that the demo has stopped for a while.
+	paused map[string]bool
 	// stuck are VMs that stopped answering without having ended.
 	stuck []string
 }
 
 func newWatch(c *cluster) *watch {
-	return &watch{c: c, version: map[string]int64{}, owners: map[string]string{}, requests: map[string]int64{}}
+	return &watch{c: c, version: map[string]int64{}, owners: map[string]string{}, requests: map[string]int64{}, paused: map[string]bool{}}
 }
 
 func (w *watch) run(ctx context.Context) {
@@ -68,9 +70,12 @@
 func (w *watch) sample() {
 	requests := map[string]int64{}
 	for _, e := range w.c.live() {
+		if w.skipped(e.name) {
+			continue
+		}
 		_, body, err := call(fasthttp.MethodGet, "http://"+e.http+"/v1/status", nil, "")
 		var s vmStatus
-		if errors.Is(err, fasthttp.ErrTimeout) {
+		if errors.Is(err, fasthttp.ErrTimeout) && !w.skipped(e.name) {
 			w.hung(e)
 		}
 		if err != nil || json.Unmarshal(body, &s) != nil {
@@ -108,6 +113,19 @@
 	_ = e.cmd.Process.Signal(syscall.SIGQUIT)
 }
 
+// skip leaves a paused VM out of the samples.
+func (w *watch) skip(name string, paused bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.paused[name] = paused
+}
+
+func (w *watch) skipped(name string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.paused[name]
+}
+
 func (w *watch) owns(vm string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/entry/cell/fakes_test.go
+++ b/entry/cell/fakes_test.go
@@ -185,9 +185,15 @@
 	polls  int
 	offer  func(rec *jobs.Record, members []int, startBy time.Time) error
 	poll   func(job string, members []int, stop, ack bool) (map[int]MemberState, error)
+	self   *Cell
 }
 
-func (r *fakeRemote) Pick(amount.Vec, int, bool, string) (string, bool) { return r.to, r.to != "" }
+// Pick reads the summary of the asking cell, as an entry VM that owns it does. A
+// Summary that takes the cell's lock hangs every test of delegation here.
+func (r *fakeRemote) Pick(amount.Vec, int, bool, string) (string, bool) {
+	r.self.Summary()
+	return r.to, r.to != ""
+}
 
 func (r *fakeRemote) Offer(_ context.Context, _, _ string, rec *jobs.Record, members []int, startBy time.Time) error {
 	r.mu.Lock()
@@ -304,6 +310,7 @@
 		w.t.Fatal(err)
 	}
 	s := &shard{Cell: c, w: w, ctx: context.Background()}
+	w.remote.self = c
 	c.ctx = s.ctx
 	epoch := w.epoch
 	c.auth = func() authority { return right{w: w, epoch: epoch} }
--- a/entry/quota/mover.go
+++ b/entry/quota/mover.go
@@ -414,39 +414,6 @@
 	return change{team: team, base: l.rev, next: next}, true
 }
 
-// floor is the part of a limit that stays with the shard while it is idle.
-func (m *Mover) floor(limit amount.Vec) amount.Vec {
-	if m.cfg.Shards == 0 {
-		return amount.Vec{}
-	}
-	n := int64(2 * m.cfg.Shards)
-	return amount.New(limit.CPUMilli()/n, limit.MemoryMiB()/n, limit.Accelerators()/n, limit.Requests()/n)
-}
-
-// Floor returns the part of a team's limit that stays with the shard while it is
-// idle.
-func (m *Mover) Floor(team string) amount.Vec {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.floor(m.line(team).limit)
-}
-
-// WantFloor asks for that part.
-func (m *Mover) WantFloor(team string) {
-	if v := m.Floor(team); !v.IsZero() {
-		m.Want(team, v)
-	}
-}
-
-// short returns what a demand still lacks.
-func (m *Mover) short(team string, l *line) amount.Vec {
-	if m.deps.Clock.Now() >= l.wantUntil {
-		return amount.Vec{}
-	}
-	room := m.deps.Ledger.Allotment(team).Sub(m.deps.Ledger.Used(team))
-	return l.want.Sub(room.Positive()).Positive()
-}
-
 func same(a, b Team) bool {
 	x, errX := json.Marshal(a)
 	y, errY := json.Marshal(b)
