--- a/entry/cell/gate.go
+++ b/entry/cell/gate.go
@@ -138,5 +138,12 @@
 	if req.CallerID() && !req.Repeatable() {
 		return c.ids.Do(ctx, req)
 	}
+	team := req.Grant().Team()
+	if c.led.book.Allotment(team).Requests() == 0 {
+		// Waiting here would last until allotment arrives, which takes the store;
+		// another shard may have some.
+		c.mov.Want(team, c.led.ahead(team, oneRequest))
+		return route.Response{}, rcode.New(rcode.OverLimit, "shard %s has no allotment of team %s yet", c.cfg.Shard, team)
+	}
 	return c.slots.Do(ctx, req)
 }
--- a/entry/route/instance.go
+++ b/entry/route/instance.go
@@ -49,6 +49,9 @@
 
 // instance is one backend server as long as it is on the list.
 type instance struct {
+	// addr never changes: an instance that moves is a new one. It is read without
+	// the router's lock.
+	addr  string
 	vm    fleet.VM
 	svc   *service
 	index int
--- a/entry/route/router.go
+++ b/entry/route/router.go
@@ -186,7 +186,7 @@
 			return Response{}, first(ran, err)
 		}
 		req.recheck = func() error { return r.gate.Allowed(*req) }
-		resp, err := r.backend.Do(context.WithoutCancel(ctx), l.inst.vm.Addr(), *req)
+		resp, err := r.backend.Do(context.WithoutCancel(ctx), l.inst.addr, *req)
 		if err == nil && resp.id != req.id {
 			err = rcode.Wrap(ErrGaveUp, rcode.AnswerMismatched, "answer for %q", resp.id)
 		}
--- a/entry/route/router_test.go
+++ b/entry/route/router_test.go
@@ -1,6 +1,8 @@
 package route_test
 
 import (
+	"strconv"
+	"sync"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -67,3 +69,23 @@
 		})
 	}
 }
+
+// Guards against a send that reads an instance while a new list of VMs replaces
+// it; the race detector is the judge.
+func TestSetInstancesDuringSends(t *testing.T) {
+	r := newRig(t, backend(echo), route.Config{})
+	list := vms(t, 1, 8)
+	r.SetInstances(list)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for range 200 {
+			r.SetInstances(list)
+		}
+	})
+	for i := range 200 {
+		if _, err := r.do(strconv.Itoa(i), "large", "x"); err != nil {
+			t.Error(err)
+		}
+	}
+	wg.Wait()
+}
--- a/entry/route/service.go
+++ b/entry/route/service.go
@@ -111,7 +111,7 @@
 			ok = false
 		}
 		if !ok {
-			i = &instance{svc: s, index: -1, limit: float64(slots(vm)), health: healthy}
+			i = &instance{addr: vm.Addr(), svc: s, index: -1, limit: float64(slots(vm)), health: healthy}
 			s.byID[vm.ID()] = i
 			heap.Push(&s.heap, i)
 		}
--- a/entry/serve/fleet.go
+++ b/entry/serve/fleet.go
@@ -53,27 +53,33 @@
 func (v *VM) takeList(list fleet.List) {
 	entries := list.Role(fleet.RoleEntry)
 	v.members.SetListed(entries)
-	byShard := map[string]*shapes{}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.list, v.shapes = list, nil
+	for _, e := range entries {
+		v.everSeen[e.ID()] = true
+	}
+}
+
+// countShapes counts the live workers of each shard by capacity; v.mu is held. It
+// returns nil while the list or the layout is not known.
+func (v *VM) countShapes() map[string]*shapes {
 	l := v.layouts.get()
-	for _, w := range list.Role(fleet.RoleWorker) {
-		if l == nil || w.State() != fleet.StateLive {
-			continue
-		}
+	if l == nil || v.list.Len() == 0 {
+		return nil
+	}
+	out := map[string]*shapes{}
+	for _, w := range v.list.Role(fleet.RoleWorker) {
 		name, ok := l.of(w.DataCentre(), w.ID())
-		if !ok {
+		if !ok || w.State() != fleet.StateLive {
 			continue
 		}
-		if byShard[name] == nil {
-			byShard[name] = &shapes{count: map[amount.Vec]int{}}
+		if out[name] == nil {
+			out[name] = &shapes{count: map[amount.Vec]int{}}
 		}
-		byShard[name].count[amount.New(w.CPUMilli(), w.MemoryMiB(), w.Accelerators(), 0)]++
-	}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.list, v.listAt, v.shapes = list, v.clk.Now(), byShard
-	for _, e := range entries {
-		v.everSeen[e.ID()] = true
+		out[name].count[amount.New(w.CPUMilli(), w.MemoryMiB(), w.Accelerators(), 0)]++
 	}
+	return out
 }
 
 // endedByPlatform reports whether the platform listed a VM once and no longer
@@ -95,12 +101,22 @@
 	return v.list.Role(fleet.RoleEntry)
 }
 
+// manyTasks stands for an unknown or very large number of tasks.
+const manyTasks = 1 << 20
+
 // holds returns how many tasks of a size the largest shard in service holds when
-// empty. All tasks of a gang run on one shard.
+// empty. All tasks of a gang run on one shard. While the workers are not known
+// nothing may be called impossible, so it returns manyTasks.
 func (v *VM) holds(size amount.Vec) int {
 	b := v.rolls.Current()
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if v.shapes == nil {
+		v.shapes = v.countShapes()
+	}
+	if v.shapes == nil {
+		return manyTasks
+	}
 	best := 0
 	for name, s := range v.shapes {
 		dc, _ := splitShard(name)
@@ -116,9 +132,9 @@
 	return best
 }
 
-// fitCount returns how many tasks of a size a worker holds, at most 1<<20.
+// fitCount returns how many tasks of a size a worker holds, at most manyTasks.
 func fitCount(size, capacity amount.Vec) int {
-	n := int64(1 << 20)
+	n := int64(manyTasks)
 	per := func(want, have int64) {
 		if want > 0 {
 			n = min(n, have/want)
--- a/entry/serve/path.go
+++ b/entry/serve/path.go
@@ -152,29 +152,39 @@
 func (v *VM) Dispatch(ctx context.Context, req route.Request) (route.Response, error) {
 	v.tries.first.Add(1)
 	tried := map[string]bool{}
+	last := rcode.New(rcode.NoOwner, "no shard in service has a known owner")
 	for {
 		shard, ok := v.choose(tried)
-		if !ok && len(tried) == 0 {
-			if v.pause(ctx) {
-				continue
-			}
-			return route.Response{}, rcode.New(rcode.NoOwner, "no shard in service has a known owner")
-		}
 		if !ok {
 			clear(tried)
 			if !v.pause(ctx) {
-				return route.Response{}, rcode.New(rcode.NoRoom, "no shard took the request before its deadline")
+				return route.Response{}, last
 			}
 			continue
 		}
 		tried[shard] = true
 		resp, err := v.serveOn(ctx, shard, req)
-		if err == nil || !v.elsewhere(req, err, len(tried)) {
-			return resp, err
+		if err == nil {
+			return resp, nil
+		}
+		if last = worse(last, err); !v.elsewhere(req, err, len(tried)) {
+			return resp, last
 		}
 	}
 }
 
+// worse returns the error to report after a further attempt: once the work may
+// have run, a later refusal must not make it "not run".
+func worse(before, now error) error {
+	if c := rcode.Of(before); c.NotRun() {
+		return now
+	}
+	if rcode.Of(now).NotRun() {
+		return before
+	}
+	return now
+}
+
 // elsewhere reports whether a failed request may be sent to another shard.
 func (v *VM) elsewhere(req route.Request, err error, tried int) bool {
 	code := rcode.Of(err)
@@ -182,9 +192,9 @@
 		return false
 	}
 	switch code {
-	case rcode.NotOwner, rcode.NoOwner, rcode.PeerUnreachable, rcode.Draining, rcode.DataCentreOut:
+	case rcode.NotOwner, rcode.NoOwner, rcode.PeerUnreachable, rcode.Draining, rcode.DataCentreOut, rcode.OverLimit:
 		return true
-	case rcode.QueueFull, rcode.DeadlineUnmet, rcode.NoRoom, rcode.OverLimit, rcode.BackendRefused:
+	case rcode.QueueFull, rcode.DeadlineUnmet, rcode.NoRoom, rcode.BackendRefused:
 		return tried < 2
 	case rcode.OutcomeUnknown, rcode.AnswerIncomplete, rcode.AnswerMismatched:
 		return req.Repeatable() && tried < placesTried && v.tries.allow()
--- a/entry/serve/vm.go
+++ b/entry/serve/vm.go
@@ -68,7 +68,6 @@
 	shards   map[string]*shard
 	list     fleet.List
 	everSeen map[string]bool
-	listAt   clock.Mono
 	shapes   map[string]*shapes
 }
 
@@ -106,7 +105,7 @@
 	v := &VM{
 		cfg: cfg, clk: clk, log: log.With(zap.String("vm", cfg.Name)), number: randomNumber(), st: met.Count(gw),
 		fleet: fleet.New(cfg.VMs), met: met, clients: peer.NewClients(secret), worker: agent.New(agent.Config{}),
-		shards: map[string]*shard{}, everSeen: map[string]bool{}, shapes: map[string]*shapes{}, began: clk.Now(),
+		shards: map[string]*shard{}, everSeen: map[string]bool{}, began: clk.Now(),
 	}
 	v.layouts = &layouts{st: v.st, shards: cfg.Shards}
 	v.backend = route.NewHTTPBackend(route.HTTPConfig{}, clk)
