--- a/entry/cell/accept.go
+++ b/entry/cell/accept.go
@@ -239,17 +239,6 @@
 	c.wake()
 }
 
-// runsOf returns how many tasks of a job were sent or are about to be.
-func (c *Cell) runsOf(h *held) int {
-	n := 0
-	for m := range h.rec.Spec.Members {
-		if c.runs[place.TaskID(h.rec.ID, m)] != nil {
-			n++
-		}
-	}
-	return n
-}
-
 // SetPolicy takes a new bundle into force: weights, limits, service, keys.
 func (c *Cell) SetPolicy(b *policy.Bundle) {
 	for _, t := range b.Teams() {
--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -204,14 +204,18 @@
 	poke      chan struct{}
 	wg        sync.WaitGroup
 
-	mu      sync.Mutex
-	pl      *place.State
-	jobs    map[string]*held
-	runs    map[string]*run
-	nodes   map[string]*node
-	orphans map[string]*orphan
-	ctx     context.Context
-	version int64
+	mu   sync.Mutex
+	pl   *place.State
+	jobs map[string]*held
+	// runs are the tasks by id. onWorker and ofJob index them: a renewal looks only
+	// at its worker's tasks, and counting a job's tasks is a look-up.
+	runs     map[string]*run
+	onWorker map[string]map[string]*run
+	ofJob    map[string]int
+	nodes    map[string]*node
+	orphans  map[string]*orphan
+	ctx      context.Context
+	version  int64
 	// out is set while placement was told that nothing may start.
 	out bool
 	// heldSlots are slots of the former owner that are not yet taken over.
@@ -226,7 +230,7 @@
 func New(cfg Config, d Deps, epoch int64, how owner.How) (*Cell, error) {
 	c := &Cell{
 		cfg: cfg, d: d, how: how, epoch: epoch, began: d.Clock.Now(), poke: make(chan struct{}, 1),
-		jobs: map[string]*held{}, runs: map[string]*run{}, nodes: map[string]*node{},
+		jobs: map[string]*held{}, runs: map[string]*run{}, onWorker: map[string]map[string]*run{}, ofJob: map[string]int{}, nodes: map[string]*node{},
 		orphans: map[string]*orphan{},
 	}
 	c.d.Log = d.Log.With(zap.String("shard", cfg.Shard), zap.Int64("epoch", epoch))
--- a/entry/cell/recover.go
+++ b/entry/cell/recover.go
@@ -73,7 +73,7 @@
 	for _, r := range c.runs {
 		if c.jobs[r.job] != nil {
 			c.pl.Ended(r.id, place.OutcomeWithdrawn, now)
-			delete(c.runs, r.id)
+			c.dropRunLocked(r)
 			known = append(known, r)
 		}
 	}
@@ -89,7 +89,7 @@
 		}
 		c.led.book.Adopt(r.team, r.size)
 		r.class = h.rec.Class
-		c.runs[r.id] = r
+		c.addRunLocked(r)
 	}
 }
 
--- a/entry/cell/renew.go
+++ b/entry/cell/renew.go
@@ -42,8 +42,8 @@
 	// leases lapse and the tasks can be started elsewhere.
 	mute := n.listed && sentAt.Sub(n.heardAt) > TaskLease/2
 	var ids, acks []string
-	for id, r := range c.runs {
-		if !mute && r.worker == n.vm.ID() && r.state == runConfirmed {
+	for id, r := range c.onWorker[n.vm.ID()] {
+		if !mute && r.state == runConfirmed {
 			ids = append(ids, id)
 		}
 	}
@@ -86,8 +86,8 @@
 			c.endedLocked(n, s)
 		}
 	}
-	for id, r := range c.runs {
-		if r.worker == n.vm.ID() && !seen[id] {
+	for id, r := range c.onWorker[n.vm.ID()] {
+		if !seen[id] {
 			c.missingLocked(r, sentAt, sentWall)
 		}
 	}
@@ -159,7 +159,7 @@
 		id: s.ID(), job: job, member: member, worker: n.vm.ID(), class: class, team: s.Team(),
 		state: runConfirmed, confirmedAt: now, checkpointMS: s.CheckpointMS(), size: s.Size(),
 	}
-	c.runs[r.id] = r
+	c.addRunLocked(r)
 	if s.Lease().After(n.leaseMax) {
 		n.leaseMax = s.Lease()
 	}
@@ -274,10 +274,8 @@
 
 // loseTasks gives up all tasks of a worker; c.mu is held.
 func (c *Cell) loseTasks(worker, why string) {
-	for _, r := range c.runs {
-		if r.worker == worker {
-			c.d.Log.Warn("task lost", zap.String("task", r.id), zap.String("worker", worker), zap.String("reason", why))
-			c.endLocked(r, place.OutcomeLost)
-		}
+	for _, r := range c.onWorker[worker] {
+		c.d.Log.Warn("task lost", zap.String("task", r.id), zap.String("worker", worker), zap.String("reason", why))
+		c.endLocked(r, place.OutcomeLost)
 	}
 }
--- a/entry/cell/start.go
+++ b/entry/cell/start.go
@@ -80,7 +80,7 @@
 		id: d.Task(), job: d.Job(), member: d.Member(), worker: d.Worker(), class: h.rec.Class, team: h.rec.Team, state: runStarting,
 		size: d.Size(),
 	}
-	c.runs[r.id] = r
+	c.addRunLocked(r)
 	task := agent.NewTask(r.id, c.epoch<<20|h.attempts[d.Member()], r.job, r.team, d.Size(), time.Time{}).
 		WithPayload(h.rec.Spec.Payload).WithCheckpoint(h.saved[d.Member()])
 	addr := n.vm.Addr()
@@ -252,7 +252,7 @@
 	if c.runs[r.id] != r {
 		return
 	}
-	delete(c.runs, r.id)
+	c.dropRunLocked(r)
 	h := c.jobs[r.job]
 	if h != nil && r.checkpointMS > 0 {
 		h.saved[r.member] = r.checkpointMS
