--- a/demo/slopes/main.go
+++ b/demo/slopes/main.go
@@ -57,6 +57,13 @@
 	for _, line := range ratios(rows) {
 		fmt.Println(line)
 	}
+	broken := exceeded(rows)
+	for _, line := range broken {
+		fmt.Println(line)
+	}
+	if err == nil && len(broken) > 0 {
+		return errors.New("a bound was exceeded")
+	}
 	if err != nil {
 		return fmt.Errorf("go test: %w\n%s", err, out)
 	}
@@ -70,6 +77,8 @@
 var baselines = map[string]string{
 	"Churn/w600":                  "Churn/fair-best-fit-600",
 	"Churn/w4800":                 "Churn/w600",
+	"Path/entry":                  "Path/direct",
+	"Path/entry-caller-id":        "Path/direct",
 	"SlopeDecide/w600":            "SlopeDecide/w278",
 	"SlopeRequest/router":         "SlopeRequest/baseline",
 	"SlopeRenew/tasks-5":          "SlopeRenew/tasks-0",
@@ -97,6 +106,44 @@
 	return out
 }
 
+// bound is a target of docs/design.md on a benchmark against its baseline in the
+// same run: a largest ratio, or a largest difference in the metric's unit.
+type bound struct {
+	name, base, unit string
+	ratio, added     float64
+}
+
+var bounds = []bound{
+	{name: "Churn/w4800", base: "Churn/w600", unit: "ns/op", ratio: 2},
+	{name: "Path/entry", base: "Path/direct", unit: "p50-µs", added: 300},
+	{name: "Path/entry", base: "Path/direct", unit: "p99-µs", added: 300},
+}
+
+// exceeded lists the bounds that a run broke; a benchmark that did not run breaks
+// none.
+func exceeded(rows []row) []string {
+	values := map[[2]string]float64{}
+	for _, r := range rows {
+		if v, err := strconv.ParseFloat(r.value, 64); err == nil {
+			values[[2]string{r.bench, r.unit}] = v
+		}
+	}
+	var out []string
+	for _, b := range bounds {
+		got, base := values[[2]string{b.name, b.unit}], values[[2]string{b.base, b.unit}]
+		if got == 0 || base == 0 {
+			continue
+		}
+		if b.ratio > 0 && got/base > b.ratio {
+			out = append(out, fmt.Sprintf("BOUND %s is %.2f times %s, at most %.2f", b.name, got/base, b.base, b.ratio))
+		}
+		if b.added > 0 && got-base > b.added {
+			out = append(out, fmt.Sprintf("BOUND %s adds %.0f %s to %s, at most %.0f", b.name, got-base, b.unit, b.base, b.added))
+		}
+	}
+	return out
+}
+
 // parse reads the lines "BenchmarkName-10  N  value unit  value unit ...".
 func parse(out []byte) []row {
 	var rows []row
--- a/demo/slopes/slopes_test.go
+++ b/demo/slopes/slopes_test.go
@@ -32,3 +32,24 @@
 		t.Errorf("-want +got:\n%s", diff)
 	}
 }
+
+// Guards against a bound that never breaks, and one that a missing benchmark
+// breaks.
+func TestExceeded(t *testing.T) {
+	tests := map[string]struct {
+		rows []row
+		want int
+	}{
+		"within":  {[]row{{"Churn/w4800", "19", "ns/op"}, {"Churn/w600", "10", "ns/op"}}, 0},
+		"ratio":   {[]row{{"Churn/w4800", "21", "ns/op"}, {"Churn/w600", "10", "ns/op"}}, 1},
+		"added":   {[]row{{"Path/entry", "2801", "p50-µs"}, {"Path/direct", "2500", "p50-µs"}}, 1},
+		"missing": {[]row{{"Path/entry", "2801", "p50-µs"}}, 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			if diff := cmp.Diff(tt.want, len(exceeded(tt.rows))); diff != "" {
+				t.Errorf("-want +got:\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/serve/serve_test.go
+++ b/entry/serve/serve_test.go
@@ -40,7 +40,7 @@
 
 // site is two data centres of two entry VMs in this process, on loopback.
 type site struct {
-	t        *testing.T
+	t        testing.TB
 	clk      clock.Clock
 	kv       *standkv.Server
 	kvAddr   string
@@ -77,7 +77,7 @@
 	return ln.Addr().String()
 }
 
-func freeAddr(t *testing.T) string {
+func freeAddr(t testing.TB) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -87,7 +87,7 @@
 	return ln.Addr().String()
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	t.Helper()
 	s := &site{
 		t: t, clk: clock.New(), vms: map[string]*vm{}, workers: map[string]*wrkr.Worker{}, backends: map[string]*bckend.Backend{},
@@ -236,8 +236,12 @@
 }
 
 func (s *site) send(id string, repeatable bool, body string) caller.Result {
+	return s.sendWork(id, repeatable, body, 0)
+}
+
+func (s *site) sendWork(id string, repeatable bool, body string, workMS int64) caller.Result {
 	return s.caller.Send(s.t.Context(), caller.Request{
-		Queue: "reprints", Class: "reprints", Key: s.key.Secret(), ID: id, Repeatable: repeatable, Body: []byte(body),
+		Queue: "reprints", Class: "reprints", Key: s.key.Secret(), ID: id, Repeatable: repeatable, Body: []byte(body), WorkMS: workMS,
 		Deadline: time.Now().Add(20 * time.Second),
 	})
 }
@@ -256,6 +260,18 @@
 	return n
 }
 
+// open publishes the first bundle and waits until the site answers.
+func (s *site) open() {
+	s.t.Helper()
+	first := s.vms["e11"].http
+	s.await("health", func() bool {
+		status, _ := s.call(fasthttp.MethodGet, "http://"+first+"/healthz", nil)
+		return status == fasthttp.StatusOK
+	})
+	s.roll(first)
+	s.ready()
+}
+
 // TestWholePath guards against parts that work alone and not together: a bundle,
 // requests with and without a caller's id, jobs, an outage of the store, a data
 // centre taken out, a revoked key, and the planned stop of a VM under load.
