Kill an owner during the store's outage in the demo

Cause: no run made a standby act without the store. Change: the demo kills a second owner 2 s into the outage; a shard runtime that fails is restarted after a pause of 1 s instead of at once. Conclusion: keep in the demo.

--- a/demo/faults.go
+++ b/demo/faults.go
@@ -68,8 +68,11 @@
 	paused := f.ownerIn(dcs[2].Name)
 	f.at(ctx, 9, "pause entry VM "+paused.name+" beyond its authority", func() error { return f.pause(paused, true) })
 	f.at(ctx, 13, "store goes away", func() error { return f.store(true) })
+	second := f.ownerIn(dcs[1].Name)
+	f.at(ctx, 15, "kill entry VM "+second.name+" during the outage", func() error { return f.kill(second) })
 	f.at(ctx, 18, "the paused VM goes on", func() error { return f.pause(paused, false) })
 	f.at(ctx, 19, "store is back", func() error { return f.store(false) })
+	f.at(ctx, 19.5, "replace the second killed VM", func() error { return f.replace(second) })
 	team := f.c.dep.Load.Interactive[2].Team
 	f.at(ctx, 20, "revoke the key of team "+team, func() error { return f.revoke(ctx, team) })
 	out := dcs[len(dcs)-1].Name
--- a/entry/serve/shards.go
+++ b/entry/serve/shards.go
@@ -28,6 +28,8 @@
 	// foreignAfter is how long a data centre must have no live VM before VMs of
 	// others keep its shards' records.
 	foreignAfter = 30 * time.Second
+	// restartPause keeps a runtime that fails at once from running in a circle.
+	restartPause = time.Second
 	// settled is how long a more preferred VM must be live before it is handed a
 	// shard, so that a VM that restarts often does not move shards.
 	settled = 30 * time.Second
@@ -169,6 +171,11 @@
 				return ctx.Err()
 			}
 			v.log.Error("shard runtime ended and is recovered", append(logs.Err(err), zap.String("shard", s.name))...)
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-v.clk.After(restartPause):
+			}
 			cancel, ended = v.startCell(ctx, s, owner.NewTaken(last.Epoch(), owner.HowTakeover))
 		}
 	}
