Remove a workaround of the shard runtime and a function without callers

Cause: the read-through found the worker put a second time after its first list, which Ready in entry/place has made unnecessary; the capacity of a listed worker written twice; jobs.IsCallerID without a caller. Change: all three removed or brought into one place. Figures: go test -race ./entry/cell ./entry/jobs passes.

--- a/entry/cell/cell.go
+++ b/entry/cell/cell.go
@@ -393,12 +393,16 @@
 	n := &node{vm: vm, heardAt: now, acks: map[string]string{}, stop: stop}
 	c.nodes[vm.ID()] = n
 	if vm.State() == fleet.StateLive {
-		capacity := amount.New(vm.CPUMilli(), vm.MemoryMiB(), vm.Accelerators(), 0)
-		c.pl.PutWorker(place.NewWorkerSpec(vm.ID(), vm.Rack(), capacity), now)
+		c.pl.PutWorker(workerSpec(vm), now)
 	}
 	return ctx, n
 }
 
+// workerSpec describes a listed worker to placement.
+func workerSpec(vm fleet.VM) place.WorkerSpec {
+	return place.NewWorkerSpec(vm.ID(), vm.Rack(), amount.New(vm.CPUMilli(), vm.MemoryMiB(), vm.Accelerators(), 0))
+}
+
 // dropNode forgets a worker that the platform no longer lists: it has ended, and
 // so have its tasks.
 func (c *Cell) dropNode(n *node) {
--- a/entry/cell/renew.go
+++ b/entry/cell/renew.go
@@ -8,7 +8,6 @@
 
 	"limpethitch.example/core/amount"
 	"limpethitch.example/core/clock"
-	"limpethitch.example/core/fleet"
 	"limpethitch.example/core/logs"
 	"limpethitch.example/core/policy"
 	"limpethitch.example/entry/agent"
@@ -95,12 +94,6 @@
 	n.listed, n.heardAt = true, c.d.Clock.Now()
 	if back {
 		c.pl.Ready(n.vm.ID())
-		if n.vm.State() == fleet.StateLive {
-			// Ready leaves the sizes noted as not fitting while no worker was
-			// ready; a change of the workers clears them.
-			capacity := amount.New(n.vm.CPUMilli(), n.vm.MemoryMiB(), n.vm.Accelerators(), 0)
-			c.pl.PutWorker(place.NewWorkerSpec(n.vm.ID(), n.vm.Rack(), capacity), c.d.Clock.Now())
-		}
 		c.recoverLocked()
 		c.wake()
 	}
@@ -266,8 +259,7 @@
 			n.listed, n.heardAt = false, now
 			c.loseTasks(id, "leases lapsed")
 			c.pl.RemoveWorker(id)
-			capacity := amount.New(n.vm.CPUMilli(), n.vm.MemoryMiB(), n.vm.Accelerators(), 0)
-			c.pl.PutWorker(place.NewWorkerSpec(id, n.vm.Rack(), capacity), now)
+			c.pl.PutWorker(workerSpec(n.vm), now)
 		}
 	}
 }
--- a/entry/jobs/record.go
+++ b/entry/jobs/record.go
@@ -168,6 +168,3 @@
 	sum := sha256.Sum256([]byte(team + "/" + id))
 	return "c" + hex.EncodeToString(sum[:15])
 }
-
-// IsCallerID reports whether a job id was made from a caller's id.
-func IsCallerID(id string) bool { return len(id) == 31 && id[0] == 'c' }
