--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # make slopes      the slopes behind docs/CAPACITY.md
 # make generate    protobuf and drpc code (the result is committed)
 
-MODULES := core entry limctl stand demo
+MODULES := core entry limctl stand demo platform
 PACKAGES := $(MODULES:%=./%/...)
 GO := go
 
@@ -15,7 +15,7 @@
 
 build:
 	@mkdir -p bin
-	$(GO) build -o bin/ ./entry ./limctl ./stand ./demo
+	$(GO) build -o bin/ ./entry ./limctl ./stand ./demo ./platform
 
 lint:
 	@out=$$($(GO) tool gofumpt -l $(MODULES) | grep -Ev '\.pb\.go$$' || true); if [ -n "$$out" ]; then echo "gofumpt:"; echo "$$out"; exit 1; fi
--- /dev/null
+++ b/entry/accept/accept.go
@@ -0,0 +1,307 @@
+// Package accept is the callers' side of a VM where one VM decides for all
+// workers: it checks a call against the configuration in force, stores accepted
+// and cancelled jobs, and reads their states.
+//
+// # Usage
+//
+//	d := accept.New(accept.Config{...}, clk, log)
+//	code := d.Submit(ctx, accept.Call{Host: host, Path: path, Key: key}, func(id string) (*graph.Job, error) { ... })
+//	state, code := d.State(ctx, call)
+//
+// A job is accepted once its record is stored. The record's key holds the job's
+// id and is only ever created, so the same job sent again stays one job.
+package accept
+
+import (
+	"context"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/engine"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/lead"
+	"limpethitch.example/entry/rules"
+	"limpethitch.example/entry/sched"
+)
+
+// Owner answers for the VM that decides.
+type Owner interface {
+	Job(ctx context.Context, id string) (engine.Answer, error)
+	Hello(ctx context.Context, from lead.Holder) (map[string]int, error)
+}
+
+// Remote reaches the owner on another VM.
+type Remote interface {
+	Job(ctx context.Context, addr, id string) (engine.Answer, error)
+	Hello(ctx context.Context, addr string, self lead.Holder) (map[string]int, error)
+}
+
+// Config are the settings of a Desk.
+type Config struct {
+	Self   lead.Holder
+	Store  store.Store
+	Keeper *lead.Keeper
+	Local  Owner
+	Remote Remote
+}
+
+// Call is one call of a client.
+type Call struct {
+	Host, Path, Key string
+}
+
+// Desk serves callers. It is safe for concurrent use.
+type Desk struct {
+	cfg Config
+	clk clock.Clock
+	log *zap.Logger
+
+	set     atomic.Pointer[rules.Set]
+	waiting atomic.Pointer[waiting]
+}
+
+// waiting is what the owner said of the jobs that wait.
+type waiting struct {
+	byQueue map[string]int
+	at      clock.Mono
+}
+
+// New returns a desk that refuses everything before SetRules.
+func New(cfg Config, clk clock.Clock, log *zap.Logger) *Desk {
+	return &Desk{cfg: cfg, clk: clk, log: log}
+}
+
+// SetRules puts a version of the configuration in force.
+func (d *Desk) SetRules(set *rules.Set) { d.set.Store(set) }
+
+// Rules returns the configuration in force, or nil.
+func (d *Desk) Rules() *rules.Set { return d.set.Load() }
+
+// admit finds the queue and account of a call.
+func (d *Desk) admit(c Call) (*rules.Queue, string, rcode.Code) {
+	set := d.set.Load()
+	if set == nil {
+		return nil, "", rcode.NoPolicy
+	}
+	q, ok := set.Match(c.Host, c.Path)
+	if !ok {
+		return nil, "", rcode.QueueUnknown
+	}
+	team, known := set.TeamOf(c.Key)
+	if !known && !q.Public {
+		return nil, "", rcode.KeyMissing
+	}
+	return q, team, rcode.OK
+}
+
+const (
+	storeTimeout = 700 * time.Millisecond
+	retryPause   = 50 * time.Millisecond
+)
+
+// Submit accepts a job. build makes the job for the id in the call's path.
+func (d *Desk) Submit(ctx context.Context, c Call, build func(id string) (*graph.Job, error)) rcode.Code {
+	q, team, code := d.admit(c)
+	if code != rcode.OK {
+		return code
+	}
+	id := strings.TrimPrefix(c.Path, q.Prefix)
+	if !graph.ValidID(id) {
+		return rcode.QueueUnknown
+	}
+	job, err := build(id)
+	if err != nil {
+		return rcode.BadRequest
+	}
+	job.ID, job.Team, job.Queue, job.AcceptedUnixMS = id, team, q.Name, d.clk.Wall().UnixMilli()
+	if err := job.Check(); err != nil {
+		d.log.Info("job rejected", zap.String("id", id), zap.String("queue", q.Name), zap.String("error", err.Error()))
+		return rcode.BadRequest
+	}
+	raw, err := job.Encode()
+	if err != nil {
+		return rcode.Internal
+	}
+	code = d.create(ctx, engine.JobPrefix+id, raw, rcode.AcceptUnknown)
+	d.log.Info("job submitted", zap.String("id", id), zap.String("queue", q.Name), zap.String("team", team),
+		zap.Int64("rules", d.set.Load().Version()), zap.String("code", string(code)))
+	return code
+}
+
+// create stores a key unless it exists already. An outcome that stays unknown is
+// answered with the code given, since the write may still take effect.
+func (d *Desk) create(ctx context.Context, key string, raw []byte, unknown rcode.Code) rcode.Code {
+	maybe := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := d.cfg.Store.Commit(call, store.NewTxn().If(key, 0).Put(key, raw))
+		cancel()
+		if err == nil {
+			return rcode.OK
+		}
+		if rcode.Of(err) != rcode.StoreUnavailable {
+			maybe = true
+		}
+		select {
+		case <-d.clk.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+	if maybe {
+		return unknown
+	}
+	return rcode.StoreUnavailable
+}
+
+// exists reports whether a job is stored.
+func (d *Desk) exists(ctx context.Context, id string) (bool, rcode.Code) {
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := d.cfg.Store.Get(call, engine.JobPrefix+id)
+		cancel()
+		switch {
+		case err == nil:
+			return true, rcode.OK
+		case rcode.Of(err) == rcode.NotFound:
+			return false, rcode.OK
+		}
+		select {
+		case <-d.clk.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+	return false, rcode.StoreUnavailable
+}
+
+// Cancel cancels a job. A job that is complete stays so.
+func (d *Desk) Cancel(ctx context.Context, c Call) rcode.Code {
+	q, _, code := d.admit(c)
+	if code != rcode.OK {
+		return code
+	}
+	id := strings.TrimPrefix(c.Path, q.Prefix)
+	if !graph.ValidID(id) {
+		return rcode.JobUnknown
+	}
+	ok, code := d.exists(ctx, id)
+	if code != rcode.OK {
+		return code
+	}
+	if !ok {
+		return rcode.JobUnknown
+	}
+	code = d.create(ctx, engine.CancelPrefix+id, []byte("{}"), rcode.OutcomeUnknown)
+	d.log.Info("job cancelled", zap.String("id", id), zap.String("code", string(code)))
+	return code
+}
+
+// ownerPatience is how long one call to the owner may take.
+const ownerPatience = 400 * time.Millisecond
+
+// State returns a job's state.
+func (d *Desk) State(ctx context.Context, c Call) (sched.JobState, rcode.Code) {
+	q, _, code := d.admit(c)
+	if code != rcode.OK {
+		return "", code
+	}
+	id := strings.TrimPrefix(c.Path, q.Prefix)
+	if !graph.ValidID(id) {
+		return "", rcode.JobUnknown
+	}
+	a, err := d.askOwner(ctx, id)
+	if err == nil && a.Known {
+		return a.State, rcode.OK
+	}
+	ok, code := d.exists(ctx, id)
+	switch {
+	case code != rcode.OK:
+		return "", code
+	case !ok:
+		return "", rcode.JobUnknown
+	case err == nil:
+		return sched.JobQueued, rcode.OK
+	default:
+		return "", rcode.NoOwner
+	}
+}
+
+// askOwner asks the owner, wherever it is now.
+func (d *Desk) askOwner(ctx context.Context, id string) (engine.Answer, error) {
+	err := error(rcode.New(rcode.NoOwner, "no owner is known"))
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, ownerPatience)
+		var a engine.Answer
+		if _, self := d.cfg.Keeper.Term(); self {
+			a, err = d.cfg.Local.Job(call, id)
+		} else if owner, ok := d.cfg.Keeper.Owner(); ok {
+			a, err = d.cfg.Remote.Job(call, owner.Addr, id)
+		}
+		cancel()
+		if err == nil {
+			return a, nil
+		}
+		select {
+		case <-d.clk.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+	return engine.Answer{}, err
+}
+
+// waitingFor is how old the owner's word on waiting jobs may be.
+const waitingFor = 2 * time.Second
+
+// Pending returns the number of a queue's jobs of which no task has started.
+func (d *Desk) Pending(c Call) (int, rcode.Code) {
+	q, _, code := d.admit(c)
+	if code != rcode.OK {
+		return 0, code
+	}
+	if c.Path != q.Prefix {
+		return 0, rcode.QueueUnknown
+	}
+	w := d.waiting.Load()
+	if w == nil || d.clk.Now().Sub(w.at) > waitingFor {
+		return 0, rcode.NoOwner
+	}
+	return w.byQueue[q.Name], rcode.OK
+}
+
+// helloEvery is the time between two words to the owner.
+const helloEvery = 700 * time.Millisecond
+
+// Run tells the owner that this VM is there, until ctx ends.
+func (d *Desk) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		d.hello(ctx)
+		select {
+		case <-d.clk.After(helloEvery):
+		case <-ctx.Done():
+		}
+	}
+	return ctx.Err()
+}
+
+func (d *Desk) hello(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, ownerPatience)
+	defer cancel()
+	sent := d.clk.Now()
+	var byQueue map[string]int
+	err := error(nil)
+	if _, self := d.cfg.Keeper.Term(); self {
+		byQueue, err = d.cfg.Local.Hello(ctx, d.cfg.Self)
+	} else if owner, ok := d.cfg.Keeper.Owner(); ok {
+		byQueue, err = d.cfg.Remote.Hello(ctx, owner.Addr, d.cfg.Self)
+	} else {
+		return
+	}
+	if err == nil {
+		d.waiting.Store(&waiting{byQueue: byQueue, at: sent})
+	}
+}
--- /dev/null
+++ b/entry/engine/advise.go
@@ -0,0 +1,121 @@
+package engine
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/logs"
+	"limpethitch.example/entry/lead"
+	"limpethitch.example/entry/sched"
+)
+
+// member is another VM that said hello.
+type member struct {
+	lead.Holder
+	heard clock.Mono
+	// busyUntil is when the calls that it was given are over, failedAt when one
+	// failed last.
+	busyUntil, failedAt clock.Mono
+}
+
+// helpers are the VMs that ask the advising service. The service takes one call
+// at a time from each VM, so the calls are spread.
+type helpers struct {
+	members map[string]*member
+}
+
+const (
+	memberFor = 2500 * time.Millisecond
+	// longCallMS is from where on a call is kept away from the VMs that serve
+	// short ones, which would wait behind it.
+	longCallMS = 80
+	// shortShare is the part of the VMs that take short calls only, as a divisor.
+	shortShare = 3
+	// failedFor is how long a VM whose call failed is passed over.
+	failedFor = time.Second
+	// adviceSlack is how much longer than computed an answer may take.
+	adviceSlack = 700 * time.Millisecond
+	// queueMost is how far ahead calls are queued at one VM.
+	queueMost = 1500 * time.Millisecond
+)
+
+func (e *Engine) greet(from lead.Holder) {
+	m := e.members[from.Name]
+	if m == nil {
+		m = &member{Holder: from}
+		e.members[from.Name] = m
+		e.log.Info("member heard", zap.String("vm", from.Name), zap.String("addr", from.Addr))
+	}
+	m.heard = e.clk.Now()
+}
+
+// pickHelper returns the VM that answers a call first.
+func (e *Engine) pickHelper(costMS int64, now clock.Mono) *member {
+	e.greet(e.cfg.Self)
+	var list []*member
+	for name, m := range e.members {
+		if now.Sub(m.heard) > memberFor {
+			delete(e.members, name)
+			continue
+		}
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int { return cmp.Compare(a.Name, b.Name) })
+	if costMS >= longCallMS && len(list) >= shortShare {
+		list = list[len(list)/shortShare:]
+	}
+	var best *member
+	for _, m := range list {
+		if m.failedAt != 0 && now.Sub(m.failedAt) < failedFor && len(list) > 1 {
+			continue
+		}
+		if best == nil || max(m.busyUntil, now) < max(best.busyUntil, now) {
+			best = m
+		}
+	}
+	return best
+}
+
+// ask has one of the VMs ask the advising service.
+func (e *Engine) ask(t *term, d sched.Ask) {
+	now := e.clk.Now()
+	m := e.pickHelper(d.CostMS, now)
+	if m == nil || m.busyUntil.Sub(now) > queueMost {
+		t.state.Advised(d.Step, nil, nil, 0, false)
+		return
+	}
+	cost := time.Duration(d.CostMS) * time.Millisecond
+	m.busyUntil = max(m.busyUntil, now).Add(cost)
+	wait := m.busyUntil.Sub(now) + adviceSlack
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, wait)
+		defer cancel()
+		var tickets []sched.Ticket
+		var valid time.Duration
+		var err error
+		if m.Name == e.cfg.Self.Name {
+			tickets, valid, err = e.cfg.Adviser.Advise(ctx, d.Step, d.Workers)
+		} else {
+			tickets, valid, err = e.cfg.Helper.Advise(ctx, m.Addr, d.Step, d.Workers)
+		}
+		until := e.clk.Now().Add(valid)
+		e.post(func() {
+			if e.term != t {
+				return
+			}
+			if err != nil {
+				m.failedAt = e.clk.Now()
+				m.busyUntil = e.clk.Now()
+				e.log.Warn("advice failed", append(logs.Err(err), zap.String("step", d.Step), zap.String("vm", m.Name))...)
+			}
+			t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
+			t.state.Advised(d.Step, d.Workers, tickets, until, err == nil)
+			t.dirty = true
+		})
+	}()
+}
--- /dev/null
+++ b/entry/engine/contact.go
@@ -0,0 +1,250 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/sched"
+)
+
+// contact is what the owner knows of its calls to one worker.
+type contact struct {
+	id, addr string
+	listed   bool
+	// clockMS is the worker's clock as of clockAt; 0 is unknown.
+	clockMS int64
+	clockAt clock.Mono
+	// expiresMS is the latest lease end given, on the worker's clock.
+	expiresMS int64
+	looking   bool
+	lookedAt  clock.Mono
+	failures  int
+	// observed may be acknowledged; ackable may be once ackRound is stored.
+	observed, ackable int64
+	ackRound          int64
+}
+
+const (
+	// lookWait is how long a worker may wait for an end before it answers a look.
+	lookWait = time.Second
+	// lookSlack is how much longer than that an answer may take.
+	lookSlack = 600 * time.Millisecond
+	// ackPatience is how long a look waits for the store, so that it can
+	// acknowledge ends.
+	ackPatience = 600 * time.Millisecond
+	// lookAgain is the pause after a look that failed.
+	lookAgain = 250 * time.Millisecond
+
+	startTimeout = 400 * time.Millisecond
+	startTries   = 3
+	stopTimeout  = 500 * time.Millisecond
+)
+
+// workerClock returns the worker's clock now.
+func (c *contact) workerClock(now clock.Mono) int64 {
+	return c.clockMS + now.Sub(c.clockAt).Milliseconds()
+}
+
+// lookIdle looks at the workers that no look is under way at.
+func (e *Engine) lookIdle() {
+	t := e.term
+	for id, c := range t.workers {
+		if !c.listed && !t.state.Knows(id) {
+			delete(t.workers, id)
+			continue
+		}
+		e.look(t, c)
+	}
+}
+
+// lookAcked looks at workers whose ends can now be acknowledged.
+func (e *Engine) lookAcked(t *term) {
+	for _, c := range t.workers {
+		if c.ackable > c.observed && c.ackRound <= t.stored {
+			e.look(t, c)
+		}
+	}
+}
+
+// look sends a look unless one is under way or it is too early for one.
+func (e *Engine) look(t *term, c *contact) {
+	if c.looking || c.addr == "" || !t.ready {
+		return
+	}
+	now := e.clk.Now()
+	wait := lookWait
+	if c.ackable > c.observed {
+		if c.ackRound <= t.stored {
+			c.observed = c.ackable
+		} else if now.Sub(c.lookedAt) < ackPatience {
+			return
+		} else {
+			wait = 0
+		}
+	}
+	if c.failures > 0 {
+		wait = 0
+		if now.Sub(c.lookedAt) < lookAgain {
+			return
+		}
+	}
+	order := LookOrder{Addr: c.addr, Instance: c.id, Token: t.Token(), Observed: c.observed}
+	if _, ok := e.cfg.Keeper.Extend(); !ok {
+		return
+	}
+	if c.clockMS == 0 {
+		wait = 0
+	} else {
+		if c.failures == 0 {
+			c.expiresMS = max(c.expiresMS, c.workerClock(now)+e.cfg.Lease.Milliseconds())
+			t.state.Leased(c.id, now.Add(e.leaseOnWorker()))
+		}
+		order.ExpiresMS = c.expiresMS
+	}
+	order.Wait = wait
+	c.looking = true
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, wait+lookSlack)
+		defer cancel()
+		reply, err := e.cfg.Workers.Look(ctx, order)
+		e.post(func() { e.looked(t, c, now, reply, err) })
+	}()
+}
+
+// looked takes in the answer to a look that was sent at sent.
+func (e *Engine) looked(t *term, c *contact, sent clock.Mono, reply LookReply, err error) {
+	if e.term != t {
+		return
+	}
+	now := e.clk.Now()
+	c.looking, c.lookedAt = false, now
+	t.dirty = true
+	if err != nil {
+		e.lookFailed(t, c, err)
+		return
+	}
+	if c.failures > 0 {
+		e.log.Info("worker answers again", zap.String("worker", c.id), zap.Int("failures", c.failures))
+	}
+	known := c.clockMS != 0
+	c.failures, c.clockMS, c.clockAt = 0, reply.ClockMS, now
+	t.state.SetNow(now, e.clk.Wall().UnixMilli())
+	seen := t.state.Observe(sched.Report{
+		Worker: c.id, BornUnixMS: reply.BornUnixMS, SentAt: sent, Running: reply.Running, Ended: reply.Ended,
+	})
+	if seen < c.observed {
+		// Another incarnation counts its ends anew.
+		c.observed, c.ackable, c.expiresMS = 0, 0, 0
+	}
+	if seen > c.ackable {
+		c.ackable, c.ackRound = seen, t.round+1
+		return
+	}
+	if !known || len(reply.Ended) == 0 {
+		e.look(t, c)
+	}
+}
+
+func (e *Engine) lookFailed(t *term, c *contact, err error) {
+	c.failures++
+	switch rcode.Of(err) {
+	case rcode.NotFound:
+		e.log.Info("worker replaced", zap.String("worker", c.id))
+		t.state.Gone(c.id)
+		c.observed, c.ackable, c.expiresMS, c.clockMS = 0, 0, 0, 0
+	case rcode.NotOwner:
+		e.log.Warn("worker refuses this owner's token", zap.String("worker", c.id), zap.Int64("token", t.Token()))
+	default:
+		if c.failures == 1 {
+			e.log.Warn("worker does not answer", append(logs.Err(err), zap.String("worker", c.id))...)
+		}
+	}
+	if c.failures > 1 {
+		t.state.Silent(c.id)
+	}
+}
+
+// start sends a start; a lost answer is asked for again by the same start.
+func (e *Engine) start(t *term, st sched.Start) {
+	c := t.workers[st.Worker]
+	if c == nil || c.clockMS == 0 {
+		t.state.Started(st.Task, st.Attempt, st.Worker, sched.OutcomeRejected)
+		t.dirty = true
+		return
+	}
+	now := e.clk.Now()
+	left := t.decidedAt.Add(startWithin).Sub(now)
+	order := StartOrder{
+		Addr: c.addr, Instance: c.id, Task: st.Task.String(), Attempt: st.Attempt, Spec: st.Spec, Saved: st.Saved,
+		Ticket: st.Ticket, Token: t.Token(), ExpiresMS: c.workerClock(now) + left.Milliseconds(),
+	}
+	t.state.Leased(c.id, now.Add(e.leaseOnWorker()))
+	go func() {
+		outcome := e.tryStart(t, order)
+		e.post(func() {
+			if e.term != t {
+				return
+			}
+			if outcome != sched.OutcomeStarted {
+				e.log.Info("start not done", zap.String("task", order.Task), zap.Int("attempt", order.Attempt),
+					zap.String("worker", order.Instance), zap.String("outcome", string(outcome)))
+			}
+			t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
+			t.state.Started(st.Task, st.Attempt, st.Worker, outcome)
+			t.dirty = true
+		})
+	}()
+}
+
+func (e *Engine) tryStart(t *term, order StartOrder) sched.Outcome {
+	unanswered := false
+	for range startTries {
+		if _, ok := e.cfg.Keeper.Authority(); !ok {
+			break
+		}
+		ctx, cancel := context.WithTimeout(t.ctx, startTimeout)
+		outcome, err := e.cfg.Workers.Start(ctx, order)
+		cancel()
+		if err == nil && outcome != sched.OutcomeUnknown {
+			if unanswered && outcome != sched.OutcomeStarted {
+				// An earlier try may still be carried out.
+				return sched.OutcomeUnknown
+			}
+			return outcome
+		}
+		unanswered = true
+	}
+	if !unanswered {
+		return sched.OutcomeRejected
+	}
+	return sched.OutcomeUnknown
+}
+
+func (e *Engine) stop(t *term, d sched.Stop) {
+	c := t.workers[d.Worker]
+	if c == nil {
+		return
+	}
+	if _, ok := e.cfg.Keeper.Authority(); !ok {
+		return
+	}
+	order := StopOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Token: t.Token()}
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
+		defer cancel()
+		if err := e.cfg.Workers.Stop(ctx, order); err != nil {
+			return
+		}
+		e.post(func() {
+			if e.term == t {
+				t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
+				t.state.Stopped(d.Task, d.Attempt, d.Worker)
+			}
+		})
+	}()
+}
--- /dev/null
+++ b/entry/engine/engine.go
@@ -0,0 +1,371 @@
+// Package engine is the runtime of the VM that decides for all workers: it loads
+// the state from the store, feeds package sched, stores its events before its
+// starts are sent, and keeps in touch with the workers.
+//
+// # Usage
+//
+//	e := engine.New(engine.Config{...}, clk, log)
+//	go e.Run(ctx)
+//	state, err := e.Job(ctx, id)
+//
+// All state belongs to one goroutine, the loop. Calls to the store, to workers
+// and to other VMs run in goroutines of their own and post their results to it.
+package engine
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/lead"
+	"limpethitch.example/entry/rules"
+	"limpethitch.example/entry/sched"
+)
+
+// Keys in the store.
+const (
+	// JobPrefix holds accepted jobs, CancelPrefix their cancellations, both below
+	// InPrefix, which the owner watches.
+	InPrefix     = "in/"
+	JobPrefix    = InPrefix + "j/"
+	CancelPrefix = InPrefix + "c/"
+)
+
+// Config are the settings of an Engine.
+type Config struct {
+	Self    lead.Holder
+	Store   store.Store
+	Keeper  *lead.Keeper
+	Workers Workers
+	Adviser Adviser
+	Helper  Helper
+	// WorkerPrefix is where the platform lists workers; ParseWorker reads an entry.
+	WorkerPrefix string
+	ParseWorker  ParseWorker
+	// Lease is how long a worker runs on without word from the owner, at most what
+	// the platform allows.
+	Lease time.Duration
+	// StopWithin is how long a stop may take on a worker.
+	StopWithin time.Duration
+}
+
+const (
+	// startWithin is how long after its decision a start may take effect.
+	startWithin = 2 * time.Second
+	// driftShare is how much slower a worker's clock may run, as a part.
+	driftShare = 0.03
+	// lapseSlack covers the way of a message.
+	lapseSlack = 300 * time.Millisecond
+	// roundEvery is the shortest time between two rounds of decisions.
+	roundEvery = 10 * time.Millisecond
+	// tickEvery is the time between rounds when nothing happens.
+	tickEvery = 100 * time.Millisecond
+	// queueLength bounds results that wait for the loop.
+	queueLength = 4096
+)
+
+// Engine decides while this VM is the owner. Its methods are safe for concurrent
+// use.
+type Engine struct {
+	cfg Config
+	clk clock.Clock
+	log *zap.Logger
+
+	posts chan func()
+	ended chan struct{}
+	ctx   context.Context // that of Run; belongs to the loop
+
+	// The fields below belong to the loop.
+	set  *rules.Set
+	out  map[string]bool
+	term *term
+	helpers
+}
+
+// term is the state of one time of ownership.
+type term struct {
+	lead.Term
+	ctx     context.Context
+	cancel  context.CancelFunc
+	state   *sched.State
+	writer  *events.Writer
+	ready   bool
+	workers map[string]*contact
+
+	writing   bool
+	stored    int64 // rounds whose events are stored
+	round     int64 // the round being written, or the last one
+	decidedAt clock.Mono
+	dirty     bool
+	unstored  map[string]int64 // finished jobs by the round that stores it
+	pending   map[string]int
+	pendingAt clock.Mono
+}
+
+// New returns an engine that does nothing before Run.
+func New(cfg Config, clk clock.Clock, log *zap.Logger) *Engine {
+	e := &Engine{cfg: cfg, clk: clk, log: log, posts: make(chan func(), queueLength), ended: make(chan struct{}), out: make(map[string]bool)}
+	e.members = make(map[string]*member)
+	return e
+}
+
+// post runs f in the loop, unless the loop has ended.
+func (e *Engine) post(f func()) {
+	select {
+	case e.posts <- f:
+	case <-e.ended:
+	}
+}
+
+// Run decides whenever this VM is the owner, until ctx ends. It is called once.
+func (e *Engine) Run(ctx context.Context) error {
+	defer close(e.ended)
+	e.ctx = ctx
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	pace := time.NewTimer(0)
+	defer pace.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			e.leave()
+			return ctx.Err()
+		case f := <-e.posts:
+			f()
+			e.drain()
+		case <-e.cfg.Keeper.Changed():
+			e.follow()
+		case <-pace.C:
+		case <-tick.C:
+			e.tick()
+		}
+		if wait, again := e.pump(); again {
+			pace.Reset(wait)
+		}
+	}
+}
+
+// drain takes in the results that are there already, so that one round of
+// decisions answers them all.
+func (e *Engine) drain() {
+	for range queueLength {
+		select {
+		case f := <-e.posts:
+			f()
+		default:
+			return
+		}
+	}
+}
+
+// follow begins or ends a term after the record changed.
+func (e *Engine) follow() {
+	t, owner := e.cfg.Keeper.Term()
+	if e.term != nil && (!owner || t.Epoch() != e.term.Epoch()) {
+		e.leave()
+	}
+	if owner && e.term == nil {
+		e.begin(t)
+	}
+}
+
+func (e *Engine) leave() {
+	if e.term == nil {
+		return
+	}
+	e.log.Info("term left", zap.Int64("epoch", e.term.Epoch()))
+	e.term.cancel()
+	e.term = nil
+}
+
+// SetRules puts a version of the configuration in force.
+func (e *Engine) SetRules(set *rules.Set) {
+	e.post(func() {
+		e.set = set
+		if e.term != nil {
+			e.term.state.SetRules(set)
+			e.term.dirty = true
+		}
+	})
+}
+
+// SetOut says which data centres get nothing new.
+func (e *Engine) SetOut(out map[string]bool) {
+	e.post(func() {
+		e.out = out
+		if e.term != nil {
+			e.term.state.SetOut(out)
+			e.term.dirty = true
+		}
+	})
+}
+
+// tick does what depends on time alone.
+func (e *Engine) tick() {
+	if e.term == nil || !e.term.ready {
+		return
+	}
+	e.term.dirty = true
+	e.lookIdle()
+}
+
+// pump decides and hands the decisions out. It returns when to be called again.
+func (e *Engine) pump() (time.Duration, bool) {
+	t := e.term
+	if t == nil || !t.ready {
+		return 0, false
+	}
+	e.carryOut(t, t.state.TakeDecisions(), nil)
+	if t.writing || !t.dirty {
+		return 0, false
+	}
+	now := e.clk.Now()
+	if wait := t.decidedAt.Add(roundEvery).Sub(now); wait > 0 {
+		return wait, true
+	}
+	if _, ok := e.cfg.Keeper.Authority(); !ok {
+		return tickEvery, true
+	}
+	t.dirty = false
+	t.decidedAt = now
+	t.state.SetNow(now, e.clk.Wall().UnixMilli())
+	decisions := t.state.Decide(now)
+	list := t.state.TakeEvents()
+	starts := e.carryOut(t, decisions, nil)
+	e.finishRound(t, list, starts)
+	return 0, false
+}
+
+// finishRound stores a round's events and then sends its starts.
+func (e *Engine) finishRound(t *term, list []events.Event, starts []sched.Start) {
+	t.round++
+	round := t.round
+	for _, id := range t.state.TakeFinished() {
+		t.unstored[id] = round
+	}
+	if len(list) == 0 {
+		e.storedRound(t, round, starts)
+		return
+	}
+	t.writing = true
+	go func() {
+		err := t.writer.Append(t.ctx, list)
+		e.post(func() {
+			t.writing = false
+			if err != nil {
+				e.log.Warn("events not stored", logs.Err(err)...)
+				return
+			}
+			e.storedRound(t, round, starts)
+		})
+	}()
+}
+
+func (e *Engine) storedRound(t *term, round int64, starts []sched.Start) {
+	if e.term != t {
+		return
+	}
+	t.stored = round
+	for id, r := range t.unstored {
+		if r <= round {
+			delete(t.unstored, id)
+		}
+	}
+	now := e.clk.Now()
+	_, ok := e.cfg.Keeper.Authority()
+	for _, st := range starts {
+		if !ok || now.Sub(t.decidedAt) > startWithin/2 {
+			t.state.Started(st.Task, st.Attempt, st.Worker, sched.OutcomeRejected)
+			t.dirty = true
+			continue
+		}
+		e.start(t, st)
+	}
+	e.lookAcked(t)
+}
+
+// carryOut hands out the decisions that need nothing stored and returns the starts.
+func (e *Engine) carryOut(t *term, list []sched.Decision, starts []sched.Start) []sched.Start {
+	for _, d := range list {
+		switch d := d.(type) {
+		case sched.Start:
+			starts = append(starts, d)
+		case sched.Stop:
+			e.stop(t, d)
+		case sched.Ask:
+			e.ask(t, d)
+		case sched.Pace:
+		}
+	}
+	return starts
+}
+
+// Answer is what the owner says of a job.
+type Answer struct {
+	State sched.JobState
+	Known bool
+}
+
+// call runs f in the loop of a ready owner and waits for it.
+func (e *Engine) call(ctx context.Context, f func(t *term)) error {
+	done := make(chan bool, 1)
+	e.post(func() {
+		if e.term == nil || !e.term.ready {
+			done <- false
+			return
+		}
+		f(e.term)
+		done <- true
+	})
+	select {
+	case ok := <-done:
+		if !ok {
+			return rcode.New(rcode.NotOwner, "this VM is not the owner")
+		}
+		return nil
+	case <-ctx.Done():
+		return rcode.Wrap(ctx.Err(), rcode.NoOwner, "engine.call")
+	}
+}
+
+// Job returns the state of a job as far as it is stored.
+func (e *Engine) Job(ctx context.Context, id string) (Answer, error) {
+	var a Answer
+	err := e.call(ctx, func(t *term) {
+		for _, f := range t.state.TakeFinished() {
+			t.unstored[f] = t.round + 1
+		}
+		a.State, a.Known = t.state.Job(id)
+		if _, wait := t.unstored[id]; wait {
+			a.State = sched.JobRunning
+		}
+	})
+	return a, err
+}
+
+// pendingFor is how long the number of jobs that wait is used again.
+const pendingFor = 300 * time.Millisecond
+
+func (t *term) pendingNow(now clock.Mono) map[string]int {
+	if t.pending == nil || now.Sub(t.pendingAt) > pendingFor {
+		t.pending, t.pendingAt = t.state.Pending(), now
+	}
+	return t.pending
+}
+
+// Hello notes that another VM is there and returns, for each queue, how many jobs
+// wait.
+func (e *Engine) Hello(ctx context.Context, from lead.Holder) (map[string]int, error) {
+	var out map[string]int
+	err := e.call(ctx, func(t *term) {
+		e.greet(from)
+		out = t.pendingNow(e.clk.Now())
+	})
+	return out, err
+}
--- /dev/null
+++ b/entry/engine/recover.go
@@ -0,0 +1,238 @@
+package engine
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/lead"
+	"limpethitch.example/entry/sched"
+)
+
+// loaded is what a new owner read from the store.
+type loaded struct {
+	jobs    []*graph.Job
+	cancels []string
+	inRev   int64
+	events  []events.Event
+	workers []store.KV
+	workRev int64
+}
+
+const (
+	loadPause  = 100 * time.Millisecond
+	watchPause = 100 * time.Millisecond
+)
+
+// begin loads the state of a new term.
+func (e *Engine) begin(lt lead.Term) {
+	ctx, cancel := context.WithCancel(e.ctx)
+	t := &term{
+		Term: lt, ctx: ctx, cancel: cancel, workers: make(map[string]*contact), unstored: make(map[string]int64),
+		writer: events.NewWriter(e.cfg.Store, lead.TermKey, lt.Epoch(), lt.Token(), e.clk, e.log),
+	}
+	t.state = sched.New(sched.Config{
+		StartWithin:    startWithin,
+		StopSlack:      e.cfg.StopWithin,
+		RecoveredLapse: lead.ExtendFor + e.leaseOnWorker(),
+	})
+	e.term = t
+	took := e.clk.Now()
+	go func() {
+		for ctx.Err() == nil {
+			l, err := e.load(ctx)
+			if err != nil {
+				e.log.Warn("state not loaded, tried again", logs.Err(err)...)
+				<-e.clk.After(loadPause)
+				continue
+			}
+			e.post(func() { e.loaded(t, l, e.clk.Now().Sub(took)) })
+			return
+		}
+	}()
+}
+
+// leaseOnWorker is how long a lease may run on a worker whose clock is slow.
+func (e *Engine) leaseOnWorker() time.Duration {
+	return time.Duration(float64(e.cfg.Lease)*(1+driftShare)) + lapseSlack
+}
+
+func (e *Engine) load(ctx context.Context) (loaded, error) {
+	var l loaded
+	var err error
+	if l.workers, l.workRev, err = e.cfg.Store.List(ctx, e.cfg.WorkerPrefix); err != nil {
+		return l, rcode.Wrap(err, rcode.Of(err), "engine.load workers")
+	}
+	if l.events, err = events.Load(ctx, e.cfg.Store); err != nil {
+		return l, rcode.Wrap(err, rcode.Of(err), "engine.load")
+	}
+	kvs, rev, err := e.cfg.Store.List(ctx, InPrefix)
+	if err != nil {
+		return l, rcode.Wrap(err, rcode.Of(err), "engine.load jobs")
+	}
+	l.inRev = rev
+	for _, kv := range kvs {
+		if id, ok := strings.CutPrefix(kv.Key(), CancelPrefix); ok {
+			l.cancels = append(l.cancels, id)
+			continue
+		}
+		job, err := graph.Decode(kv.Value())
+		if err != nil {
+			e.log.Error("stored job unreadable", append(logs.Err(err), zap.String("key", kv.Key()))...)
+			continue
+		}
+		l.jobs = append(l.jobs, job)
+	}
+	return l, nil
+}
+
+func (e *Engine) loaded(t *term, l loaded, took time.Duration) {
+	if e.term != t {
+		return
+	}
+	now := e.clk.Now()
+	t.state.SetNow(now, e.clk.Wall().UnixMilli())
+	t.state.SetOut(e.out)
+	if e.set != nil {
+		t.state.SetRules(e.set)
+	}
+	for _, j := range l.jobs {
+		t.state.AddJob(j)
+	}
+	t.state.Replay(l.events)
+	t.state.Recovered(now)
+	for _, id := range l.cancels {
+		t.state.Cancel(id)
+	}
+	t.ready, t.dirty = true, true
+	e.listWorkers(t, l.workers)
+	e.lookIdle()
+	e.log.Info("term begun", zap.Int64("epoch", t.Epoch()), zap.Int("jobs", len(l.jobs)), zap.Int("events", len(l.events)),
+		zap.Int("runs", t.state.Running()), zap.Int("workers", len(l.workers)), zap.Int64("took_ms", took.Milliseconds()))
+	go e.watch(t, InPrefix, l.inRev, e.jobChanged, func(kvs []store.KV) {
+		for _, kv := range kvs {
+			e.jobChanged(t, store.NewChange(kv, false))
+		}
+	})
+	go e.watch(t, e.cfg.WorkerPrefix, l.workRev, e.workerChanged, func(kvs []store.KV) { e.listWorkers(t, kvs) })
+}
+
+// watch follows a prefix until the term ends. After a break that may have lost
+// changes it lists the prefix again.
+func (e *Engine) watch(t *term, prefix string, rev int64, changed func(*term, store.Change), listed func([]store.KV)) {
+	for t.ctx.Err() == nil {
+		err := e.cfg.Store.Watch(t.ctx, prefix, rev+1, func(c store.Change) {
+			rev = max(rev, c.KV().ModRevision())
+			e.post(func() {
+				if e.term == t {
+					changed(t, c)
+				}
+			})
+		})
+		if t.ctx.Err() != nil {
+			return
+		}
+		if rcode.Of(err) != rcode.NotFound {
+			<-e.clk.After(watchPause)
+			continue
+		}
+		e.log.Warn("history lost, listed again", zap.String("prefix", prefix), zap.Int64("after", rev))
+		kvs, at, err := e.cfg.Store.List(t.ctx, prefix)
+		if err != nil {
+			<-e.clk.After(watchPause)
+			continue
+		}
+		rev = at
+		e.post(func() {
+			if e.term == t {
+				listed(kvs)
+				t.dirty = true
+			}
+		})
+	}
+}
+
+// jobChanged takes in an accepted or cancelled job.
+func (e *Engine) jobChanged(t *term, c store.Change) {
+	if c.Deleted() {
+		return
+	}
+	key := c.KV().Key()
+	t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
+	if id, ok := strings.CutPrefix(key, CancelPrefix); ok {
+		t.state.Cancel(id)
+		t.dirty = true
+		return
+	}
+	job, err := graph.Decode(c.KV().Value())
+	if err != nil {
+		e.log.Error("stored job unreadable", append(logs.Err(err), zap.String("key", key))...)
+		return
+	}
+	t.state.AddJob(job)
+	t.dirty = true
+}
+
+// workerChanged takes in a change on the platform's list.
+func (e *Engine) workerChanged(t *term, c store.Change) {
+	id := strings.TrimPrefix(c.KV().Key(), e.cfg.WorkerPrefix)
+	if c.Deleted() {
+		e.dropWorker(t, id)
+		return
+	}
+	e.putWorker(t, id, c.KV().Value())
+}
+
+func (e *Engine) putWorker(t *term, id string, value []byte) {
+	spec, ok := e.cfg.ParseWorker(id, value)
+	if !ok {
+		e.log.Warn("worker entry unusable", zap.String("worker", id))
+		e.dropWorker(t, id)
+		return
+	}
+	t.state.PutWorker(spec)
+	c := t.workers[id]
+	if c == nil {
+		c = &contact{id: id}
+		t.workers[id] = c
+		e.log.Info("worker listed", zap.String("worker", id), zap.String("addr", spec.Addr), zap.Bool("draining", spec.Draining))
+	}
+	if c.addr != spec.Addr {
+		c.addr = spec.Addr
+		c.clockMS = 0
+	}
+	c.listed = true
+	t.dirty = true
+	e.look(t, c)
+}
+
+func (e *Engine) dropWorker(t *term, id string) {
+	if c := t.workers[id]; c != nil && c.listed {
+		c.listed = false
+		e.log.Info("worker unlisted", zap.String("worker", id))
+	}
+	t.state.DropWorker(id)
+	t.dirty = true
+}
+
+// listWorkers takes in the whole list.
+func (e *Engine) listWorkers(t *term, kvs []store.KV) {
+	seen := make(map[string]bool, len(kvs))
+	for _, kv := range kvs {
+		id := strings.TrimPrefix(kv.Key(), e.cfg.WorkerPrefix)
+		seen[id] = true
+		e.putWorker(t, id, kv.Value())
+	}
+	for id, c := range t.workers {
+		if c.listed && !seen[id] {
+			e.dropWorker(t, id)
+		}
+	}
+}
--- /dev/null
+++ b/entry/events/events.go
@@ -0,0 +1,88 @@
+// Package events is the owner's journal: what it decided and learned of tasks,
+// written to the store in numbered segments before anything is done about it.
+//
+// # Usage
+//
+//	w := events.NewWriter(st, lead.TermKey, epoch, token, clk, log)
+//	err := w.Append(ctx, []events.Event{events.Start(task, attempt, worker, born)})
+//	segments, err := events.Load(ctx, st)
+//
+// A segment is a key of its own, written on the condition that the key does not
+// exist and that the owner's record is unchanged. So a write that arrives late
+// has no effect, a segment can be sent again after a lost reply, and a former
+// owner cannot append.
+package events
+
+import (
+	"encoding/json"
+
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/graph"
+)
+
+// Kind says what an event records.
+type Kind string
+
+// Kinds of events.
+const (
+	// KindStart: a start is about to be sent to a worker.
+	KindStart Kind = "s"
+	// KindEnd: a worker listed the end of a run.
+	KindEnd Kind = "e"
+	// KindCancel: a job was cancelled before it was complete.
+	KindCancel Kind = "c"
+)
+
+// How says how a run ended.
+type How string
+
+// Ends of a run.
+const (
+	HowDone    How = "d"
+	HowFailed  How = "f"
+	HowStopped How = "s"
+	// HowLost is a run that is certainly over, or never began, without the task
+	// being at fault.
+	HowLost How = "l"
+)
+
+// Event is one entry of the journal. The fields are exported because the type
+// is stored as JSON.
+type Event struct {
+	Kind Kind `json:"k"`
+	// Task is the task's name, or the job's id for KindCancel.
+	Task    string `json:"t"`
+	Attempt int    `json:"a,omitempty"`
+	// Worker and Born name the worker's incarnation that was sent the start.
+	Worker string `json:"w,omitempty"`
+	Born   int64  `json:"b,omitempty"`
+	How    How    `json:"h,omitempty"`
+	// Saved is the newest checkpoint known when the run ended.
+	Saved string `json:"v,omitempty"`
+}
+
+// Start returns the event of a start that is about to be sent.
+func Start(task graph.TaskID, attempt int, worker string, born int64) Event {
+	return Event{Kind: KindStart, Task: task.String(), Attempt: attempt, Worker: worker, Born: born}
+}
+
+// End returns the event of a run that ended.
+func End(task graph.TaskID, attempt int, how How, saved string) Event {
+	return Event{Kind: KindEnd, Task: task.String(), Attempt: attempt, How: how, Saved: saved}
+}
+
+// Cancel returns the event of a job that was cancelled.
+func Cancel(job string) Event { return Event{Kind: KindCancel, Task: job} }
+
+// Encode returns the stored form of a segment.
+func Encode(list []Event) ([]byte, error) {
+	raw, err := json.Marshal(list)
+	return raw, rcode.Wrap(err, rcode.Internal, "events.Encode")
+}
+
+// Decode reads the stored form of a segment.
+func Decode(raw []byte) ([]Event, error) {
+	var list []Event
+	err := json.Unmarshal(raw, &list)
+	return list, rcode.Wrap(err, rcode.Internal, "events.Decode")
+}
--- /dev/null
+++ b/entry/events/writer.go
@@ -0,0 +1,112 @@
+package events
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+)
+
+// Prefix holds the segments in the store.
+const Prefix = "log/"
+
+// segmentKey sorts segments in the order in which they were written: epochs
+// rise with each owner, numbers inside an epoch.
+func segmentKey(epoch, number int64) string {
+	return fmt.Sprintf("%s%016x/%010x", Prefix, epoch, number)
+}
+
+// logEveryTries bounds the lines that one segment writes during an outage.
+const logEveryTries = 16
+
+// retryPause is the pause before a segment is sent again.
+const retryPause = 60 * time.Millisecond
+
+// Writer appends segments for one term of ownership. It is used by one
+// goroutine at a time.
+type Writer struct {
+	st      store.Store
+	termKey string
+	clk     clock.Clock
+	log     *zap.Logger
+
+	epoch, token int64
+	number       int64
+}
+
+// NewWriter returns a writer for the term that began with the write of termKey
+// at revision token.
+func NewWriter(st store.Store, termKey string, epoch, token int64, clk clock.Clock, log *zap.Logger) *Writer {
+	return &Writer{st: st, termKey: termKey, epoch: epoch, token: token, clk: clk, log: log}
+}
+
+// Append writes one segment and returns when it is stored. rcode.NotOwner means
+// that the term is over.
+func (w *Writer) Append(ctx context.Context, list []Event) error {
+	raw, err := Encode(list)
+	if err != nil {
+		return err
+	}
+	w.number++
+	key := segmentKey(w.epoch, w.number)
+	for try := 1; ctx.Err() == nil; try++ {
+		res, err := w.st.Commit(ctx, store.NewTxn().If(w.termKey, w.token).If(key, 0).Put(key, raw))
+		if err == nil {
+			if res.Done() || w.written(ctx, key, raw) {
+				return nil
+			}
+			if w.over(ctx) {
+				return rcode.New(rcode.NotOwner, "events.Append %s: the term is over", key)
+			}
+		}
+		if try == 1 || try%logEveryTries == 0 {
+			w.log.Warn("segment not stored, sent again", append(logs.Err(err),
+				zap.String("key", key), zap.Int("try", try), zap.Int("events", len(list)))...)
+		}
+		select {
+		case <-w.clk.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+	return rcode.New(rcode.NotOwner, "events.Append %s: the term was ended here", key)
+}
+
+// written reports whether an earlier try of the segment took effect.
+func (w *Writer) written(ctx context.Context, key string, raw []byte) bool {
+	kv, err := w.st.Get(ctx, key)
+	return err == nil && bytes.Equal(kv.Value(), raw)
+}
+
+// over reports whether another VM has taken over since.
+func (w *Writer) over(ctx context.Context) bool {
+	kv, err := w.st.Get(ctx, w.termKey)
+	return err == nil && kv.ModRevision() != w.token
+}
+
+// Load returns all events in the order in which they were written.
+func Load(ctx context.Context, st store.Store) ([]Event, error) {
+	kvs, _, err := st.List(ctx, Prefix)
+	if err != nil {
+		return nil, rcode.Wrap(err, rcode.Of(err), "events.Load")
+	}
+	var out []Event
+	for _, kv := range kvs {
+		if !strings.HasPrefix(kv.Key(), Prefix) {
+			continue
+		}
+		list, err := Decode(kv.Value())
+		if err != nil {
+			return nil, rcode.Wrap(err, rcode.Internal, "events.Load %s", kv.Key())
+		}
+		out = append(out, list...)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/entry/lead/lead.go
@@ -0,0 +1,320 @@
+// Package lead elects the one VM that decides for all workers of a platform.
+//
+// # Usage
+//
+//	k := lead.New(lead.Config{Store: st, Self: lead.Holder{Name: "vm1", Addr: "10.1.0.17:7420"}}, clk, log)
+//	go k.Run(ctx)
+//	if term, ok := k.Authority(); ok { ... }
+//
+// The store holds one record, changed only by compare-and-swap on its revision.
+// The owner renews it every second. Another VM takes over when it has seen the
+// same revision for TakeAfter on its own clock while the store answered it all
+// the while; so an outage of the store for all changes no owner. The owner's
+// authority ends AuthorityFor after it sent its last renewal that succeeded,
+// which is earlier than any other VM may act. Clocks here count the time that a
+// VM is suspended.
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+)
+
+const (
+	// Key is where the record lies.
+	Key = "owner/record"
+	// TermKey changes only at a takeover. Writes that only the owner may make are
+	// conditioned on its revision, which is the term's token.
+	TermKey = "owner/term"
+)
+
+const (
+	// AuthorityFor is how long a renewal gives authority to decide.
+	AuthorityFor = 2000 * time.Millisecond
+	// ExtendFor is how long after its last renewal an owner may keep running tasks
+	// alive, which starts nothing.
+	ExtendFor = 8 * time.Second
+	// TakeAfter is how long an unchanged record is waited for: AuthorityFor, 2% of
+	// clock drift and a margin for the messages under way.
+	TakeAfter = 2400 * time.Millisecond
+
+	renewEvery = 600 * time.Millisecond
+	lookEvery  = 400 * time.Millisecond
+	// contactGap is the longest silence of the store that still counts as contact.
+	contactGap  = 1200 * time.Millisecond
+	callTimeout = 800 * time.Millisecond
+)
+
+// Holder names a VM's incarnation and the address at which other VMs reach it.
+type Holder struct {
+	Name string `json:"name"`
+	Addr string `json:"addr"`
+}
+
+type record struct {
+	Holder Holder `json:"holder"`
+	Epoch  int64  `json:"epoch"`
+	// Beat changes with each renewal, so that its reply can be told from others.
+	Beat int64 `json:"beat"`
+	// Released records were given back by their holder and may be taken at once.
+	Released bool `json:"released,omitempty"`
+}
+
+// Term is one uninterrupted time of ownership.
+type Term struct {
+	epoch int64
+	token int64
+}
+
+// Epoch rises with each owner.
+func (t Term) Epoch() int64 { return t.epoch }
+
+// Token is the fencing token: the store's revision of the takeover, which is also
+// the revision of TermKey.
+func (t Term) Token() int64 { return t.token }
+
+// Config are the settings of a Keeper.
+type Config struct {
+	Store store.Store
+	Self  Holder
+	// Eligible reports whether this VM may take over now.
+	Eligible func() bool
+}
+
+// Keeper holds or watches the record. It is safe for concurrent use.
+type Keeper struct {
+	cfg Config
+	clk clock.Clock
+	log *zap.Logger
+
+	mu       sync.Mutex
+	rec      record
+	rev      int64
+	seenAt   clock.Mono // when rev was first seen here
+	contact  clock.Mono // last answer of the store
+	term     Term
+	owner    bool
+	renewed  clock.Mono // before the last successful renewal was sent
+	released bool
+	changed  chan struct{}
+}
+
+// New returns a keeper that does nothing before Run.
+func New(cfg Config, clk clock.Clock, log *zap.Logger) *Keeper {
+	return &Keeper{cfg: cfg, clk: clk, log: log, changed: make(chan struct{}, 1)}
+}
+
+// Changed receives after ownership of this VM or the known owner changed.
+func (k *Keeper) Changed() <-chan struct{} { return k.changed }
+
+// Authority returns the term while this VM may decide.
+func (k *Keeper) Authority() (Term, bool) { return k.within(AuthorityFor) }
+
+// Extend returns the term while this VM may keep running tasks alive.
+func (k *Keeper) Extend() (Term, bool) { return k.within(ExtendFor) }
+
+func (k *Keeper) within(d time.Duration) (Term, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.term, k.owner && k.clk.Now() < k.renewed.Add(d)
+}
+
+// Term returns the term of which this VM is the owner as far as it knows; its
+// authority may be interrupted.
+func (k *Keeper) Term() (Term, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.term, k.owner
+}
+
+// Owner returns the holder that the record named last.
+func (k *Keeper) Owner() (Holder, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.rec.Holder, k.rev != 0 && !k.rec.Released
+}
+
+// Run elects and renews until ctx ends.
+func (k *Keeper) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		pause := k.step(ctx)
+		select {
+		case <-ctx.Done():
+		case <-k.clk.After(pause):
+		}
+	}
+	return ctx.Err()
+}
+
+func (k *Keeper) step(ctx context.Context) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if _, ok := k.Term(); ok {
+		k.renew(ctx)
+		return renewEvery
+	}
+	k.look(ctx)
+	if k.mayTake() {
+		k.take(ctx)
+	}
+	if _, ok := k.Term(); ok {
+		return renewEvery
+	}
+	return lookEvery
+}
+
+// look reads the record.
+func (k *Keeper) look(ctx context.Context) {
+	sent := k.clk.Now()
+	kv, err := k.cfg.Store.Get(ctx, Key)
+	if err != nil && rcode.Of(err) != rcode.NotFound {
+		return
+	}
+	var rec record
+	if err == nil {
+		if jerr := json.Unmarshal(kv.Value(), &rec); jerr != nil {
+			k.log.Error("owner record unreadable, treated as released", zap.Error(jerr))
+			rec = record{Released: true}
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.owner {
+		return
+	}
+	if k.contact == 0 || sent.Sub(k.contact) > contactGap || kv.ModRevision() != k.rev {
+		k.seenAt = k.clk.Now()
+	}
+	if rec.Holder != k.rec.Holder || rec.Epoch != k.rec.Epoch {
+		k.log.Info("owner seen", zap.String("owner", rec.Holder.Name), zap.Int64("epoch", rec.Epoch))
+		k.signal()
+	}
+	k.contact, k.rec, k.rev = k.clk.Now(), rec, kv.ModRevision()
+}
+
+func (k *Keeper) signal() {
+	select {
+	case k.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (k *Keeper) mayTake() bool {
+	if k.cfg.Eligible != nil && !k.cfg.Eligible() {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := k.clk.Now()
+	if k.released || k.owner || k.contact == 0 || now.Sub(k.contact) > contactGap {
+		return false
+	}
+	// A record that names this VM is from a takeover whose reply was lost.
+	return k.rev == 0 || k.rec.Released || k.rec.Holder == k.cfg.Self || now.Sub(k.seenAt) >= TakeAfter
+}
+
+func (k *Keeper) take(ctx context.Context) {
+	k.mu.Lock()
+	next := record{Holder: k.cfg.Self, Epoch: k.rec.Epoch + 1}
+	rev := k.rev
+	k.mu.Unlock()
+	sent := k.clk.Now()
+	newRev, ok := k.swap(ctx, rev, next, true)
+	if !ok {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rec, k.rev, k.owner, k.renewed = next, newRev, true, sent
+	k.term = Term{epoch: next.Epoch, token: newRev}
+	k.log.Info("ownership taken", zap.Int64("epoch", next.Epoch), zap.Int64("token", newRev))
+	k.signal()
+}
+
+func (k *Keeper) renew(ctx context.Context) {
+	k.mu.Lock()
+	next := k.rec
+	next.Beat++
+	rev := k.rev
+	k.mu.Unlock()
+	sent := k.clk.Now()
+	newRev, ok := k.swap(ctx, rev, next, false)
+	if ok {
+		k.mu.Lock()
+		k.rec, k.rev, k.renewed = next, newRev, sent
+		k.mu.Unlock()
+		return
+	}
+	k.verify(ctx, next, sent)
+}
+
+// verify reads the record after a renewal that did not succeed: it may have
+// taken effect with its reply lost, or another VM may be the owner.
+func (k *Keeper) verify(ctx context.Context, sentRec record, sent clock.Mono) {
+	kv, err := k.cfg.Store.Get(ctx, Key)
+	if err != nil && rcode.Of(err) != rcode.NotFound {
+		return
+	}
+	var rec record
+	if err == nil {
+		if jerr := json.Unmarshal(kv.Value(), &rec); jerr != nil {
+			k.log.Error("owner record unreadable", zap.Error(jerr))
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	switch {
+	case rec == sentRec:
+		k.rec, k.rev, k.renewed = rec, kv.ModRevision(), sent
+	case rec.Holder == k.cfg.Self && rec.Epoch == k.term.epoch && !rec.Released:
+		// An earlier renewal, or one of this term that arrived late.
+		k.rec, k.rev = rec, kv.ModRevision()
+	default:
+		k.owner, k.rec, k.rev = false, rec, kv.ModRevision()
+		k.seenAt, k.contact = k.clk.Now(), k.clk.Now()
+		k.log.Warn("ownership lost", zap.String("owner", rec.Holder.Name), zap.Int64("epoch", rec.Epoch))
+		k.signal()
+	}
+}
+
+// Release gives the record back, so that another VM may take it at once. This
+// VM does not take it again.
+func (k *Keeper) Release(ctx context.Context) {
+	k.mu.Lock()
+	owner, rev, next := k.owner, k.rev, k.rec
+	k.owner, k.released = false, true
+	k.mu.Unlock()
+	k.signal()
+	if !owner {
+		return
+	}
+	next.Released = true
+	_, ok := k.swap(ctx, rev, next, false)
+	k.log.Info("ownership released", zap.Bool("stored", ok), zap.Int64("epoch", next.Epoch))
+}
+
+func (k *Keeper) swap(ctx context.Context, rev int64, next record, takeover bool) (int64, bool) {
+	raw, err := json.Marshal(next)
+	if err != nil {
+		k.log.Error("owner record not encoded", zap.Error(err))
+		return 0, false
+	}
+	txn := store.NewTxn().If(Key, rev).Put(Key, raw)
+	if takeover {
+		txn.Put(TermKey, raw)
+	}
+	res, err := k.cfg.Store.Commit(ctx, txn)
+	if err != nil {
+		k.log.Warn("owner record not written", logs.Err(err)...)
+	}
+	return res.Revision(), err == nil && res.Done()
+}
--- /dev/null
+++ b/entry/relay/relay.go
@@ -0,0 +1,172 @@
+// Package relay carries calls between VMs where one of them decides for all
+// workers: jobs' states and the calls to the advising service.
+//
+// # Usage
+//
+//	c := relay.NewClients()
+//	answer, err := c.Job(ctx, ownerAddr, id)
+//	go relay.Serve(ctx, listener, handler)
+package relay
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcpool"
+	"storj.io/drpc/drpcserver"
+
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/engine"
+	"limpethitch.example/entry/lead"
+	"limpethitch.example/entry/sched"
+)
+
+const (
+	dialTimeout = 600 * time.Millisecond
+	idleExpiry  = 60 * time.Second
+	// maxIdlePerVM bounds the idle connections kept to each VM.
+	maxIdlePerVM = 16
+)
+
+// Handler answers the calls of other VMs. An error with rcode.NotOwner says that
+// this VM does not decide.
+type Handler interface {
+	Hello(ctx context.Context, from lead.Holder) (map[string]int, error)
+	Job(ctx context.Context, id string) (engine.Answer, error)
+	Advise(ctx context.Context, step string, workers []string) ([]sched.Ticket, time.Duration, error)
+}
+
+// Serve answers calls on l until ctx ends.
+func Serve(ctx context.Context, l net.Listener, h Handler) error {
+	mux := drpcmux.New()
+	if err := DRPCRegisterRelay(mux, server{h}); err != nil {
+		return rcode.Wrap(err, rcode.Internal, "relay.Serve")
+	}
+	err := drpcserver.New(mux).Serve(ctx, l)
+	if errors.Is(err, context.Canceled) || ctx.Err() != nil {
+		return ctx.Err()
+	}
+	return rcode.Wrap(err, rcode.Internal, "relay.Serve")
+}
+
+type server struct{ h Handler }
+
+// Hello implements DRPCRelayServer.
+func (s server) Hello(ctx context.Context, r *HelloRequest) (*HelloReply, error) {
+	waiting, err := s.h.Hello(ctx, lead.Holder{Name: r.GetName(), Addr: r.GetAddr()})
+	if err != nil {
+		return &HelloReply{}, nil //nolint:nilerr // the reply says that this VM does not decide
+	}
+	out := &HelloReply{Owner: true, Waiting: make(map[string]int32, len(waiting))}
+	for q, n := range waiting {
+		out.Waiting[q] = int32(min(n, 1<<30))
+	}
+	return out, nil
+}
+
+// Job implements DRPCRelayServer.
+func (s server) Job(ctx context.Context, r *JobRequest) (*JobReply, error) {
+	a, err := s.h.Job(ctx, r.GetId())
+	if err != nil {
+		return &JobReply{}, nil //nolint:nilerr // the reply says that this VM does not decide
+	}
+	return &JobReply{Owner: true, Known: a.Known, State: string(a.State)}, nil
+}
+
+// Advise implements DRPCRelayServer.
+func (s server) Advise(ctx context.Context, r *AdviseRequest) (*AdviseReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(r.GetDeadlineMs())*time.Millisecond)
+	defer cancel()
+	tickets, valid, err := s.h.Advise(ctx, r.GetStep(), r.GetWorkers())
+	if err != nil {
+		return &AdviseReply{}, nil //nolint:nilerr // the reply says that there is no answer
+	}
+	out := &AdviseReply{Done: true, ValidMs: valid.Milliseconds()}
+	for _, t := range tickets {
+		out.Tickets = append(out.Tickets, &Ticket{Worker: t.Worker, Value: t.Value})
+	}
+	return out, nil
+}
+
+// Clients calls other VMs by address over pooled connections. It is safe for
+// concurrent use.
+type Clients struct {
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClients returns a pool without connections.
+func NewClients() *Clients {
+	return &Clients{pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{Expiration: idleExpiry, KeyCapacity: maxIdlePerVM})}
+}
+
+// Close closes the idle connections.
+func (c *Clients) Close() error { return c.pool.Close() }
+
+func (c *Clients) conn(ctx context.Context, addr string) drpcpool.Conn {
+	return c.pool.Get(ctx, addr, func(ctx context.Context, addr string) (drpcpool.Conn, error) {
+		d := net.Dialer{Timeout: dialTimeout}
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		if err != nil {
+			return nil, err
+		}
+		return drpcconn.New(conn), nil
+	})
+}
+
+// Hello tells the owner at addr that this VM is there.
+func (c *Clients) Hello(ctx context.Context, addr string, self lead.Holder) (map[string]int, error) {
+	conn := c.conn(ctx, addr)
+	defer func() { _ = conn.Close() }()
+	r, err := NewDRPCRelayClient(conn).Hello(ctx, &HelloRequest{Name: self.Name, Addr: self.Addr})
+	if err != nil {
+		return nil, rcode.Wrap(err, rcode.PeerUnreachable, "relay.Hello %s", addr)
+	}
+	if !r.GetOwner() {
+		return nil, rcode.New(rcode.NotOwner, "relay.Hello %s", addr)
+	}
+	out := make(map[string]int, len(r.GetWaiting()))
+	for q, n := range r.GetWaiting() {
+		out[q] = int(n)
+	}
+	return out, nil
+}
+
+// Job reads a job's state from the owner at addr.
+func (c *Clients) Job(ctx context.Context, addr, id string) (engine.Answer, error) {
+	conn := c.conn(ctx, addr)
+	defer func() { _ = conn.Close() }()
+	r, err := NewDRPCRelayClient(conn).Job(ctx, &JobRequest{Id: id})
+	if err != nil {
+		return engine.Answer{}, rcode.Wrap(err, rcode.PeerUnreachable, "relay.Job %s", addr)
+	}
+	if !r.GetOwner() {
+		return engine.Answer{}, rcode.New(rcode.NotOwner, "relay.Job %s", addr)
+	}
+	return engine.Answer{Known: r.GetKnown(), State: sched.JobState(r.GetState())}, nil
+}
+
+// Advise has the VM at addr ask the advising service.
+func (c *Clients) Advise(ctx context.Context, addr, step string, workers []string) ([]sched.Ticket, time.Duration, error) {
+	req := &AdviseRequest{Step: step, Workers: workers}
+	if at, ok := ctx.Deadline(); ok {
+		req.DeadlineMs = time.Until(at).Milliseconds()
+	}
+	conn := c.conn(ctx, addr)
+	defer func() { _ = conn.Close() }()
+	r, err := NewDRPCRelayClient(conn).Advise(ctx, req)
+	if err != nil {
+		return nil, 0, rcode.Wrap(err, rcode.PeerUnreachable, "relay.Advise %s", addr)
+	}
+	if !r.GetDone() {
+		return nil, 0, rcode.New(rcode.PeerUnreachable, "relay.Advise %s: no answer of the advising service", addr)
+	}
+	out := make([]sched.Ticket, 0, len(r.GetTickets()))
+	for _, t := range r.GetTickets() {
+		out = append(out, sched.Ticket{Worker: t.GetWorker(), Value: t.GetValue()})
+	}
+	return out, time.Duration(r.GetValidMs()) * time.Millisecond, nil
+}
--- /dev/null
+++ b/entry/sched/decide.go
@@ -0,0 +1,353 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/events"
+)
+
+// rank orders waiting steps; smaller comes first.
+type rank struct {
+	class     int
+	priority  int
+	objective clock.Mono
+}
+
+// Classes of rank: what can still be in time and is within its account's rate,
+// what is beyond the rate, and what has lost its worth.
+const (
+	classInTime = iota
+	classOverRate
+	classLate
+)
+
+func (s *State) rankOf(st *step) rank {
+	j := st.job
+	r := rank{priority: j.queue.Priority, objective: j.objective}
+	switch {
+	case s.now >= j.late && !st.spec.Service:
+		r.class = classLate
+	case j.over:
+		r.class = classOverRate
+	}
+	return r
+}
+
+func (r rank) compare(o rank) int {
+	return cmp.Or(cmp.Compare(r.class, o.class), cmp.Compare(r.priority, o.priority), cmp.Compare(r.objective, o.objective))
+}
+
+const (
+	// keepAfter is how long a gang waits before room is kept for it, keepMost how
+	// many gangs room is kept for at once.
+	keepAfter = 700 * time.Millisecond
+	keepMost  = 2
+)
+
+type scratch struct {
+	fits []fit
+}
+
+// Decide returns what to do now.
+func (s *State) Decide(now clock.Mono) []Decision {
+	s.now = max(s.now, now)
+	s.openDue()
+	s.lapseSilent()
+	s.repeatStops()
+	s.stopStalled()
+	s.placeWaiting()
+	return s.TakeDecisions()
+}
+
+// TakeDecisions returns the decisions that follow from events alone, such as
+// stops of cancelled work, without placing anything.
+func (s *State) TakeDecisions() []Decision {
+	out := s.decisions
+	s.decisions = nil
+	return out
+}
+
+// placeWaiting goes through the waiting steps in order and starts what fits.
+func (s *State) placeWaiting() {
+	keep := s.waiting[:0]
+	for _, st := range s.waiting {
+		if st.job.final() || st.left == 0 || st.open == 0 {
+			st.queued = false
+			s.releaseHeld(st)
+			continue
+		}
+		st.rank = s.rankOf(st)
+		keep = append(keep, st)
+	}
+	clear(s.waiting[len(keep):])
+	s.waiting = keep
+	slices.SortStableFunc(s.waiting, func(a, b *step) int { return a.rank.compare(b.rank) })
+	for _, w := range s.workers {
+		w.keptFor = nil
+	}
+	kept := 0
+	for _, st := range s.waiting {
+		if st.spec.Gang {
+			if !s.placeGang(st) && kept < keepMost && s.now.Sub(st.since) >= keepAfter {
+				if s.keepRoom(st) {
+					kept++
+				}
+			}
+			continue
+		}
+		s.placeTasks(st)
+	}
+}
+
+// usable reports whether new tasks of a step may start on a worker at all.
+func (s *State) usable(w *worker, st *step) bool {
+	switch {
+	case !w.listed, !w.fresh, w.silent, w.spec.Draining:
+		return false
+	case s.out[w.spec.DataCentre], s.now < w.suspectUntil:
+		return false
+	case st.job.queue.Service != "" && w.spec.Service != st.job.queue.Service:
+		return false
+	case st.spec.Label != "" && !slices.Contains(w.spec.Labels, st.spec.Label):
+		return false
+	}
+	return true
+}
+
+// roomFor returns how many more tasks of a step fit on a worker, at most n.
+func (s *State) roomFor(w *worker, st *step, n int) int {
+	if w.keptFor != nil && w.keptFor != st && st.job.queue.Priority >= w.keptFor.job.queue.Priority {
+		return 0
+	}
+	free := w.free()
+	n = min(n, times(free.CPUMilli(), st.size.CPUMilli(), n))
+	n = min(n, times(free.MemoryMiB(), st.size.MemoryMiB(), n))
+	n = min(n, times(free.Accelerators(), st.size.Accelerators(), n))
+	if per := st.spec.PerWorker; per > 0 {
+		for r := range st.liveRuns {
+			if r.worker == w {
+				per--
+			}
+		}
+		n = min(n, per)
+	}
+	return max(0, n)
+}
+
+func times(room, size int64, most int) int {
+	if size <= 0 {
+		return most
+	}
+	return int(max(0, room) / size)
+}
+
+// fit is a worker and how many tasks of a step it takes.
+type fit struct {
+	w    *worker
+	n    int
+	cost float64
+}
+
+// rackPenalty outweighs any difference in free processors between two workers.
+const rackPenalty = 1e9
+
+// fitsOf returns the workers with room for tasks of a step that pass allow, the
+// ones with the least room first, so that large rooms stay whole. Workers in the
+// rack of the data come before all others.
+func (s *State) fitsOf(st *step, n int, allow func(*worker) bool) []fit {
+	out := s.scratch.fits[:0]
+	for _, w := range s.workers {
+		if !s.usable(w, st) || !allow(w) {
+			continue
+		}
+		room := s.roomFor(w, st, n)
+		if room == 0 {
+			continue
+		}
+		cost := float64(w.free().CPUMilli())
+		if st.spec.DataRack != "" && !slices.Contains(w.spec.Labels, st.spec.DataRack) {
+			cost += rackPenalty
+		}
+		out = append(out, fit{w: w, n: room, cost: cost})
+	}
+	slices.SortFunc(out, func(a, b fit) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.w.spec.ID, b.w.spec.ID))
+	})
+	s.scratch.fits = out
+	return out
+}
+
+// placeTasks starts tasks of a step one by one.
+func (s *State) placeTasks(st *step) {
+	if s.asking(st) && len(st.adv.tickets) == 0 {
+		return
+	}
+	tm := s.team(st.job.doc.Team)
+	if !tm.fitsLimit(st.spec.Declared()) {
+		return
+	}
+	fits := s.fitsOf(st, st.open, func(w *worker) bool { return s.ticketed(st, w) })
+	at := 0
+	for _, t := range st.tasks {
+		if at == len(fits) {
+			break
+		}
+		if !t.waiting() {
+			continue
+		}
+		if t.avoid == fits[at].w && len(fits) > at+1 {
+			fits[at], fits[at+1] = fits[at+1], fits[at]
+		}
+		if !tm.fitsLimit(st.spec.Declared()) {
+			return
+		}
+		s.start(t, fits[at].w, t.attempt+1)
+		fits[at].n--
+		if fits[at].n == 0 {
+			at++
+		}
+	}
+	if st.open > 0 {
+		s.askFor(st)
+	}
+}
+
+// placeGang starts all tasks of a gang or none.
+func (s *State) placeGang(st *step) bool {
+	if s.asking(st) || len(st.liveRuns) > 0 {
+		return true
+	}
+	need := st.left
+	tm := s.team(st.job.doc.Team)
+	if !tm.fitsLimit(scale(st.spec.Declared(), need)) {
+		return true
+	}
+	s.releaseHeld(st)
+	fits := s.gangFits(st, need, func(w *worker) bool { return s.ticketed(st, w) })
+	if fits == nil {
+		return s.askForGang(st, need)
+	}
+	attempt := st.attempt + 1
+	at := 0
+	for _, t := range st.tasks {
+		if t.done {
+			continue
+		}
+		t.saved = st.saved
+		s.start(t, fits[at].w, attempt)
+		fits[at].n--
+		if fits[at].n == 0 {
+			at++
+		}
+	}
+	return true
+}
+
+func scale(v amount.Vec, n int) amount.Vec {
+	k := int64(n)
+	return amount.New(v.CPUMilli()*k, v.MemoryMiB()*k, v.Accelerators()*k, 0)
+}
+
+// gangFits returns workers that hold need tasks together, or nil. A gang that
+// runs faster on one rack goes there if any rack holds it.
+func (s *State) gangFits(st *step, need int, allow func(*worker) bool) []fit {
+	if st.spec.SameRack {
+		for _, rack := range s.rackNames() {
+			onRack := func(w *worker) bool { return slices.Contains(w.spec.Labels, rack) && allow(w) }
+			if fits := enough(s.fitsOf(st, need, onRack), need); fits != nil {
+				return fits
+			}
+		}
+	}
+	return enough(s.fitsOf(st, need, allow), need)
+}
+
+func enough(fits []fit, need int) []fit {
+	for i := range fits {
+		need -= fits[i].n
+		if need <= 0 {
+			return fits[:i+1]
+		}
+	}
+	return nil
+}
+
+func (s *State) rackNames() []string {
+	var out []string
+	for _, w := range s.workers {
+		for _, l := range w.spec.Labels {
+			if len(l) > 1 && !slices.Contains(out, l) {
+				out = append(out, l)
+			}
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// keepRoom keeps the workers from which a gang has most to expect free of work
+// that does not come before it.
+func (s *State) keepRoom(st *step) bool {
+	need := st.left
+	allow := func(w *worker) bool {
+		return w.keptFor == nil && s.usable(w, st) && s.mayUse(st, w)
+	}
+	var list []fit
+	for _, w := range s.workers {
+		if !allow(w) {
+			continue
+		}
+		n := min(times(w.spec.Capacity.CPUMilli(), st.size.CPUMilli(), need),
+			times(w.spec.Capacity.MemoryMiB(), st.size.MemoryMiB(), need))
+		if n > 0 {
+			list = append(list, fit{w: w, n: n, cost: -float64(w.free().CPUMilli())})
+		}
+	}
+	slices.SortFunc(list, func(a, b fit) int {
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.w.spec.ID, b.w.spec.ID))
+	})
+	chosen := enough(list, need)
+	for _, f := range chosen {
+		f.w.keptFor = st
+	}
+	return chosen != nil
+}
+
+func (s *State) start(t *task, w *worker, attempt int) {
+	r := s.newRun(t, w, attempt)
+	s.record(events.Start(t.id(), attempt, w.spec.ID, w.spec.BornUnixMS))
+	s.emit(Start{
+		Task: t.id(), Attempt: attempt, Worker: w.spec.ID, Addr: w.spec.Addr, Spec: t.step.job.doc.Spec,
+		Saved: t.saved, Ticket: t.step.adv.ticket(w),
+	})
+	r.percent = 0
+}
+
+const (
+	// stalledAfter is how long a run may show no progress; a sound one of the
+	// longest kind moves by a hundredth much sooner.
+	stalledAfter = 2500 * time.Millisecond
+	complete     = 100
+)
+
+// stopStalled stops runs that make no progress, so that they go on elsewhere.
+func (s *State) stopStalled() {
+	for _, w := range s.workers {
+		for r := range w.runs {
+			st := r.task.step
+			if !r.confirmed || r.stopping || st.spec.Service || st.spec.Filler || r.percent >= complete {
+				continue
+			}
+			if s.now.Sub(r.movedAt) < stalledAfter+time.Duration(st.spec.EstimateMS)*time.Millisecond/10 {
+				continue
+			}
+			w.suspectUntil = s.now.Add(suspectFor)
+			r.task.avoid = w
+			s.stop(r)
+		}
+	}
+}
--- /dev/null
+++ b/entry/sched/decision.go
@@ -0,0 +1,46 @@
+package sched
+
+import "limpethitch.example/entry/graph"
+
+// Decision is one order of the State to its driver. The types below are the only
+// ones.
+type Decision interface{ decision() }
+
+// Start has a worker start a run.
+type Start struct {
+	Task    graph.TaskID
+	Attempt int
+	Worker  string
+	Addr    string
+	Spec    string
+	Saved   string
+	Ticket  string
+}
+
+// Stop has a worker stop a run, or refuse it when it arrives later.
+type Stop struct {
+	Task    graph.TaskID
+	Attempt int
+	Worker  string
+}
+
+// Ask has the advising service asked which of the workers may run a step.
+type Ask struct {
+	Step    string
+	Workers []string
+	// CostMS is how long the service takes for this call.
+	CostMS int64
+}
+
+// Pace has a worker run a task at a share of its speed.
+type Pace struct {
+	Task    graph.TaskID
+	Attempt int
+	Worker  string
+	Percent int
+}
+
+func (Start) decision() {}
+func (Stop) decision()  {}
+func (Ask) decision()   {}
+func (Pace) decision()  {}
--- /dev/null
+++ b/entry/sched/replay.go
@@ -0,0 +1,116 @@
+package sched
+
+import (
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/graph"
+)
+
+// Replay takes in the journal of former owners, after all jobs were added and
+// before anything else. cancelled are the jobs that callers cancelled.
+func (s *State) Replay(list []events.Event) {
+	s.replaying = true
+	defer func() { s.replaying = false }()
+	for _, e := range list {
+		s.replay(e)
+	}
+	for _, j := range s.jobs {
+		for _, steps := range j.runs {
+			for _, st := range steps {
+				s.settle(st)
+			}
+		}
+	}
+	s.decisions = s.decisions[:0]
+}
+
+func (s *State) replay(e events.Event) {
+	if e.Kind == events.KindCancel {
+		if j := s.jobs[e.Task]; j != nil && !j.final() {
+			s.finish(j, JobCancelled)
+		}
+		return
+	}
+	id, ok := graph.ParseTaskID(e.Task)
+	if !ok {
+		return
+	}
+	t := s.taskOf(id)
+	if t == nil {
+		return
+	}
+	switch e.Kind {
+	case events.KindStart:
+		s.replayStart(t, e)
+	case events.KindEnd:
+		s.replayEnd(t, e)
+	case events.KindCancel:
+	}
+}
+
+func (s *State) replayStart(t *task, e events.Event) {
+	if t.done {
+		return
+	}
+	if t.run != nil {
+		// The former owner knew that the earlier run was over.
+		s.endRun(t.run, events.HowLost, "")
+	}
+	w := s.workers[e.Worker]
+	if w == nil {
+		w = &worker{spec: WorkerSpec{ID: e.Worker, BornUnixMS: e.Born}, runs: make(map[*run]struct{})}
+		s.workers[e.Worker] = w
+	}
+	if w.spec.BornUnixMS != e.Born && e.Born != 0 {
+		// Either the incarnation ended or a newer one is not known here yet; the
+		// journal's order says that this is the newer one.
+		s.reborn(w)
+		w.spec.BornUnixMS = e.Born
+	}
+	r := s.newRun(t, w, e.Attempt)
+	r.recovered = true
+}
+
+func (s *State) replayEnd(t *task, e events.Event) {
+	if e.Saved != "" {
+		t.saved = e.Saved
+		if t.step.spec.Gang {
+			t.step.saved = e.Saved
+		}
+	}
+	if t.run != nil && t.run.attempt == e.Attempt {
+		s.endRun(t.run, e.How, e.Saved)
+		return
+	}
+	if e.How == events.HowDone {
+		s.doneBy(t)
+	}
+}
+
+// settle brings a step's place in the queue in line after a replay.
+func (s *State) settle(st *step) {
+	if st.job.final() || st.left == 0 || st.unmet > 0 {
+		return
+	}
+	if st.spec.Gang && len(st.liveRuns) > 0 {
+		// Members that are missing end the others; a whole gang goes on.
+		st.broken = len(st.liveRuns) < st.left
+		return
+	}
+	if st.open > 0 {
+		s.enqueue(st)
+	}
+}
+
+// Recovered starts the wait for leases that the former owner may have given.
+func (s *State) Recovered(now clock.Mono) {
+	s.now = max(s.now, now)
+	for _, w := range s.workers {
+		w.lapse = now.Add(s.cfg.RecoveredLapse)
+		for r := range w.runs {
+			if r.task.step.broken || r.task.step.job.final() {
+				s.stop(r)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/entry/sched/state.go
@@ -0,0 +1,329 @@
+// Package sched decides which task of which job runs on which worker, for a
+// platform whose workers check fencing tokens and list what runs and what ended.
+// It does no input or output: events come in through methods, decisions and
+// journal entries go out.
+//
+// # Usage
+//
+//	s := sched.New(sched.Config{StartWithin: 2 * time.Second})
+//	s.SetRules(set)
+//	s.PutWorker(spec, now)
+//	s.AddJob(job, now)
+//	decisions := s.Decide(now)
+//	entries := s.TakeEvents() // to be stored before the decisions are carried out
+//
+// A State is used by one goroutine. After a takeover the new owner adds all jobs,
+// calls Replay with the whole journal and Recovered once; each run that the
+// journal leaves open counts as running until its worker's list says otherwise
+// or its lease has surely lapsed.
+package sched
+
+import (
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/rules"
+)
+
+// JobState is what callers are told of a job.
+type JobState string
+
+// States of a job.
+const (
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobDone      JobState = "done"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// Final reports whether the state does not change any more.
+func (s JobState) Final() bool { return s == JobDone || s == JobFailed || s == JobCancelled }
+
+// Config are the settings of a State.
+type Config struct {
+	// StartWithin is how long after its decision a start may take effect; the
+	// order carries that time, and the worker refuses it later.
+	StartWithin time.Duration
+	// RecoveredLapse is how long after a takeover a lease that the former owner
+	// gave may still run.
+	RecoveredLapse time.Duration
+	// StopSlack is how long a stop may take.
+	StopSlack time.Duration
+}
+
+// WorkerSpec describes one incarnation of a worker.
+type WorkerSpec struct {
+	ID, Addr   string
+	DataCentre string
+	Service    string
+	Capacity   amount.Vec
+	Labels     []string
+	// Draining workers leave soon and get nothing new.
+	Draining bool
+	// BornUnixMS tells incarnations under one id apart; 0 is unknown.
+	BornUnixMS int64
+}
+
+type worker struct {
+	spec   WorkerSpec
+	used   amount.Vec
+	runs   map[*run]struct{}
+	listed bool // on the platform's list
+	// fresh: its own list of runs was read since this VM became the owner.
+	fresh bool
+	// silent: it did not answer its last look.
+	silent bool
+	// lapse is when every lease given to it has surely ended.
+	lapse clock.Mono
+	// seen is the number of the last end that was taken in.
+	seen int64
+
+	failStreak   int
+	failJobs     map[string]struct{}
+	suspectUntil clock.Mono
+	keptFor      *step // a gang that waits for room here
+}
+
+func (w *worker) free() amount.Vec { return w.spec.Capacity.Sub(w.used) }
+
+// run is one attempt of a task on a worker, from the decision to start it until
+// its end is known.
+type run struct {
+	task    *task
+	attempt int
+	worker  *worker
+	size    amount.Vec
+	charged amount.Vec // to the team
+
+	confirmed   bool       // the worker said that it runs or listed it
+	confirmedAt clock.Mono // when that was learned
+	startBy     clock.Mono // it cannot begin after this
+	stopping    bool
+	stopAt      clock.Mono // when the stop was sent last
+	stopped     bool       // the worker accepted the stop
+	recovered   bool       // known from the journal only
+
+	percent int
+	movedAt clock.Mono
+	tail    int64
+}
+
+type task struct {
+	step     *step
+	index    int
+	attempt  int
+	failures int
+	done     bool
+	saved    string
+	run      *run
+	// avoid is the worker on which the task failed last.
+	avoid *worker
+}
+
+func (t *task) id() graph.TaskID {
+	return graph.TaskID{Job: t.step.job.doc.ID, Run: t.step.run, Step: t.step.num, Index: t.index}
+}
+
+func (t *task) waiting() bool { return !t.done && t.run == nil }
+
+// step is one step of one occurrence of a job.
+type step struct {
+	job   *job
+	run   int
+	num   int
+	spec  *graph.Step
+	size  amount.Vec
+	tasks []*task
+	left  int // tasks that are not done
+	open  int // tasks that wait for a worker
+	unmet int // steps that it still waits for
+	// since is when it became ready.
+	since  clock.Mono
+	queued bool
+	// liveRuns counts runs that have not ended, with earlier attempts.
+	liveRuns map[*run]struct{}
+	attempt  int // highest attempt of a gang
+	failures int // failed attempts of a gang
+	saved    string
+	// failedAttempt is the last attempt of a gang that counted as failed.
+	failedAttempt int
+	// broken: a member of the gang ended; the next attempt waits for the others.
+	broken bool
+
+	adv  advice
+	rank rank
+}
+
+type job struct {
+	doc       *graph.Job
+	queue     rules.Queue
+	state     JobState
+	begun     bool
+	runs      [][]*step
+	stepsLeft int
+	// objective is by when the job should be complete, late when it earns nothing.
+	accepted, objective, late clock.Mono
+	// over: the account had sent more than its rate when the job came.
+	over bool
+}
+
+func (j *job) final() bool { return j.state.Final() }
+
+type team struct {
+	name  string
+	used  amount.Vec
+	limit amount.Vec
+	rate  float64
+	// credit is a token bucket of jobs within the account's rate.
+	credit   float64
+	creditAt clock.Mono
+}
+
+// State is all that the owner knows. It is not safe for concurrent use.
+type State struct {
+	cfg     Config
+	now     clock.Mono
+	rules   *rules.Set
+	out     map[string]bool // data centres out of service
+	jobs    map[string]*job
+	workers map[string]*worker
+	teams   map[string]*team
+	// waiting are steps with tasks that wait for a worker, in order.
+	waiting []*step
+	due     []*job // jobs with occurrences still to come
+	// wallOffset turns unix milliseconds into this clock.
+	wallOffset clock.Mono
+
+	events    []events.Event
+	decisions []Decision
+	finished  []string
+	scratch   scratch
+	replaying bool
+}
+
+// New returns an empty state.
+func New(cfg Config) *State {
+	return &State{
+		cfg: cfg, out: make(map[string]bool), jobs: make(map[string]*job),
+		workers: make(map[string]*worker), teams: make(map[string]*team),
+	}
+}
+
+// SetNow moves time forward. wallUnixMS is the wall time at now.
+func (s *State) SetNow(now clock.Mono, wallUnixMS int64) {
+	s.now = max(s.now, now)
+	s.wallOffset = s.now - clock.Mono(wallUnixMS)*clock.Mono(time.Millisecond)
+}
+
+// SetRules puts a version of the configuration in force.
+func (s *State) SetRules(set *rules.Set) {
+	s.rules = set
+	for name, t := range s.teams {
+		s.fillTeam(t, name)
+	}
+}
+
+// SetOut says which data centres get nothing new.
+func (s *State) SetOut(dataCentres map[string]bool) { s.out = dataCentres }
+
+func (s *State) team(name string) *team {
+	t := s.teams[name]
+	if t == nil {
+		t = &team{name: name}
+		s.fillTeam(t, name)
+		t.credit = t.rate
+		t.creditAt = s.now
+		s.teams[name] = t
+	}
+	return t
+}
+
+func (s *State) fillTeam(t *team, name string) {
+	if s.rules == nil {
+		return
+	}
+	spec := s.rules.Team(name)
+	t.limit, t.rate = spec.Limit, spec.Rate
+}
+
+// withinRate takes one job from the account's bucket, which holds up to a
+// second's worth.
+func (s *State) withinRate(t *team) bool {
+	if t.rate <= 0 {
+		return true
+	}
+	t.credit = min(t.credit+s.now.Sub(t.creditAt).Seconds()*t.rate, max(1, t.rate))
+	t.creditAt = s.now
+	if t.credit < 1 {
+		return false
+	}
+	t.credit--
+	return true
+}
+
+// fitsLimit reports whether the account may have v more running.
+func (t *team) fitsLimit(v amount.Vec) bool {
+	total := t.used.Add(v)
+	l := t.limit
+	return (l.CPUMilli() == 0 || total.CPUMilli() <= l.CPUMilli()) &&
+		(l.MemoryMiB() == 0 || total.MemoryMiB() <= l.MemoryMiB()) &&
+		(l.Accelerators() == 0 || total.Accelerators() <= l.Accelerators())
+}
+
+// TakeEvents returns the journal entries since the last call.
+func (s *State) TakeEvents() []events.Event {
+	out := s.events
+	s.events = nil
+	return out
+}
+
+func (s *State) record(e events.Event) {
+	if !s.replaying {
+		s.events = append(s.events, e)
+	}
+}
+
+// Job returns what callers are told of a job.
+func (s *State) Job(id string) (JobState, bool) {
+	j := s.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	return j.state, true
+}
+
+// Pending returns, for each queue, the number of jobs of which no task has been
+// started.
+func (s *State) Pending() map[string]int {
+	out := make(map[string]int)
+	for _, j := range s.jobs {
+		if !j.begun && !j.final() {
+			out[j.doc.Queue]++
+		}
+	}
+	return out
+}
+
+// TakeFinished returns the jobs that reached their last state since the last
+// call. Callers may be told so once the events are stored.
+func (s *State) TakeFinished() []string {
+	out := s.finished
+	s.finished = nil
+	return out
+}
+
+// Running returns the number of runs that have not ended.
+func (s *State) Running() int {
+	n := 0
+	for _, w := range s.workers {
+		n += len(w.runs)
+	}
+	return n
+}
+
+// Waiting returns the number of steps with tasks that wait for a worker.
+func (s *State) Waiting() int { return len(s.waiting) }
