Ask for advice in order of rank and put missed jobs after those in time

Ruled out: room on workers (calls waited while workers had room). Change: a call is made only when a VM is free, so the step that comes first asks first; workers without room are not asked about again; jobs past their objective come after those that can still be in time; one log line for each call.

--- a/entry/engine/advise.go
+++ b/entry/engine/advise.go
@@ -40,8 +40,9 @@
 	failedFor = time.Second
 	// adviceSlack is how much longer than computed an answer may take.
 	adviceSlack = 700 * time.Millisecond
-	// queueMost is how far ahead calls are queued at one VM.
-	queueMost = 1500 * time.Millisecond
+	// queueAhead is how much of a VM's work may lie ahead when it is given another
+	// call: enough to cover the way there and back.
+	queueAhead = 30 * time.Millisecond
 )
 
 func (e *Engine) greet(from lead.Holder) {
@@ -54,8 +55,9 @@
 	m.heard = e.clk.Now()
 }
 
-// pickHelper returns the VM that answers a call first.
-func (e *Engine) pickHelper(costMS int64, now clock.Mono) *member {
+// reserve returns a VM that can take a call now and counts the call's time for it.
+func (e *Engine) reserve(costMS int64) (string, bool) {
+	now := e.clk.Now()
 	e.greet(e.cfg.Self)
 	var list []*member
 	for name, m := range e.members {
@@ -74,24 +76,26 @@
 		if m.failedAt != 0 && now.Sub(m.failedAt) < failedFor && len(list) > 1 {
 			continue
 		}
-		if best == nil || max(m.busyUntil, now) < max(best.busyUntil, now) {
+		if best == nil || m.busyUntil < best.busyUntil {
 			best = m
 		}
 	}
-	return best
+	if best == nil || best.busyUntil.Sub(now) > queueAhead {
+		return "", false
+	}
+	best.busyUntil = max(best.busyUntil, now).Add(time.Duration(costMS) * time.Millisecond)
+	return best.Name, true
 }
 
-// ask has one of the VMs ask the advising service.
+// ask has the reserved VM ask the advising service.
 func (e *Engine) ask(t *term, d sched.Ask) {
 	now := e.clk.Now()
-	m := e.pickHelper(d.CostMS, now)
-	if m == nil || m.busyUntil.Sub(now) > queueMost {
+	m := e.members[d.VM]
+	if m == nil {
 		t.state.Advised(d.Step, nil, nil, 0, false)
 		return
 	}
-	cost := time.Duration(d.CostMS) * time.Millisecond
-	m.busyUntil = max(m.busyUntil, now).Add(cost)
-	wait := m.busyUntil.Sub(now) + adviceSlack
+	wait := max(m.busyUntil.Sub(now), 0) + adviceSlack
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, wait)
 		defer cancel()
@@ -113,6 +117,9 @@
 				m.busyUntil = e.clk.Now()
 				e.log.Warn("advice failed", append(logs.Err(err), zap.String("step", d.Step), zap.String("vm", m.Name))...)
 			}
+			e.log.Info("advice", zap.String("step", d.Step), zap.String("vm", m.Name), zap.Int("asked", len(d.Workers)),
+				zap.Int("allowed", len(tickets)), zap.Int64("cost_ms", d.CostMS), zap.Int64("took_ms", e.clk.Now().Sub(now).Milliseconds()),
+				zap.Bool("renewal", d.Renewal))
 			t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
 			t.state.Advised(d.Step, d.Workers, tickets, until, err == nil)
 			t.dirty = true
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -40,6 +40,7 @@
 	}
 	t.state = sched.New(sched.Config{
 		StartWithin:    startWithin,
+		Adviser:        e.reserve,
 		StopSlack:      e.cfg.StopWithin,
 		RecoveredLapse: lead.ExtendFor + e.leaseOnWorker(),
 	})
--- a/entry/sched/advice.go
+++ b/entry/sched/advice.go
@@ -90,16 +90,32 @@
 		return true
 	}
 	if fits := s.gangFits(st, need, func(w *worker) bool { return s.mayUse(st, w) }); fits != nil {
-		s.hold(st, fits, need)
-		s.ask(st, firstWorkers(fits, askMost))
+		if s.ask(st, firstWorkers(fits, askMost)) {
+			s.hold(st, fits, need)
+		}
 		return true
 	}
-	if s.now.Sub(st.adv.askedAt) >= askAgain {
+	if s.now.Sub(st.adv.askedAt) >= askAgain && s.totalRoom(st, need) >= need {
 		s.ask(st, s.candidates(st))
 	}
 	return false
 }
 
+// totalRoom returns how many tasks of a step fit on all workers that are allowed
+// or not known yet, at most most.
+func (s *State) totalRoom(st *step, most int) int {
+	n := 0
+	for _, w := range s.workers {
+		if s.usable(w, st) && (s.mayUse(st, w) || !st.adv.asked[w.spec.ID]) {
+			n += s.roomFor(w, st, most-n)
+		}
+		if n >= most {
+			break
+		}
+	}
+	return n
+}
+
 func (s *State) asking(st *step) bool {
 	if st.adv.asking && s.now.Sub(st.adv.askedAt) >= askTimeout {
 		st.adv.asking = false
@@ -124,6 +140,9 @@
 		if !s.usable(w, st) || st.adv.asked[w.spec.ID] || !st.size.Fits(w.spec.Capacity) {
 			continue
 		}
+		if st.adv.asked != nil && s.roomFor(w, st, 1) == 0 {
+			continue
+		}
 		list = append(list, fit{w: w, cost: -float64(w.free().CPUMilli())})
 	}
 	slices.SortFunc(list, func(a, b fit) int {
@@ -138,19 +157,25 @@
 	return firstWorkers(list, most)
 }
 
-func (s *State) ask(st *step, workers []*worker) {
+// ask emits a call unless all VMs are busy with calls. It reports whether it did.
+func (s *State) ask(st *step, workers []*worker) bool {
 	if len(workers) == 0 {
-		return
+		return false
 	}
 	a := &st.adv
+	q := st.job.queue.Advice
+	cost := int64(q.BaseMS + q.PerWorkerMS*float64(len(workers)))
+	vm, ok := s.cfg.Adviser(cost)
+	if !ok {
+		return false
+	}
 	a.asking, a.askedAt = true, s.now
 	ids := make([]string, 0, len(workers))
 	for _, w := range workers {
 		ids = append(ids, w.spec.ID)
 	}
-	q := st.job.queue.Advice
-	cost := int64(q.BaseMS + q.PerWorkerMS*float64(len(ids)))
-	s.emit(Ask{Step: st.tasks[0].id().StepName(), Workers: ids, CostMS: cost})
+	s.emit(Ask{VM: vm, Step: st.tasks[0].id().StepName(), Workers: ids, CostMS: cost, Renewal: a.asked[ids[0]]})
+	return true
 }
 
 // hold sets room aside for a gang.
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -17,14 +17,21 @@
 	objective clock.Mono
 }
 
-// Classes of rank: what can still be in time and is within its account's rate,
-// what is beyond the rate, and what has lost its worth.
+// Classes of rank: what can still be in time; what misses its objective but not
+// by much; what its account sent beyond its rate; and what has lost its worth. When
+// more comes than the workers can do, what is late already must not make the rest
+// late too.
 const (
 	classInTime = iota
+	classMissed
 	classOverRate
 	classLate
 )
 
+// missedShare is the part of the declared run time that has to fit before the
+// objective: declared times are far off in both directions.
+const missedShare = 0.7
+
 func (s *State) rankOf(st *step) rank {
 	j := st.job
 	r := rank{priority: j.queue.Priority, objective: j.objective}
@@ -33,6 +40,8 @@
 		r.class = classLate
 	case j.over:
 		r.class = classOverRate
+	case s.now.Add(time.Duration(missedShare*float64(st.tailMS))*time.Millisecond) > j.objective && !st.spec.Service:
+		r.class = classMissed
 	}
 	return r
 }
@@ -92,7 +101,7 @@
 	kept := 0
 	for _, st := range s.waiting {
 		if st.spec.Gang {
-			if !s.placeGang(st) && kept < keepMost && s.now.Sub(st.since) >= keepAfter {
+			if !s.placeGang(st) && st.rank.class == classInTime && kept < keepMost && s.now.Sub(st.since) >= keepAfter {
 				if s.keepRoom(st) {
 					kept++
 				}
--- a/entry/sched/decision.go
+++ b/entry/sched/decision.go
@@ -24,10 +24,14 @@
 	Worker  string
 }
 
-// Ask has the advising service asked which of the workers may run a step.
+// Ask has the advising service asked, from the VM reserved for the call, which of
+// the workers may run a step.
 type Ask struct {
+	VM      string
 	Step    string
 	Workers []string
+	// Renewal asks about workers that were asked about before.
+	Renewal bool
 	// CostMS is how long the service takes for this call.
 	CostMS int64
 }
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -77,6 +77,12 @@
 		st.unmet = len(spec.After)
 		steps[i] = st
 	}
+	for i := len(steps) - 1; i >= 0; i-- {
+		steps[i].tailMS += steps[i].spec.EstimateMS
+		for _, a := range steps[i].spec.After {
+			steps[a].tailMS = max(steps[a].tailMS, steps[i].tailMS)
+		}
+	}
 	j.runs[occurrence] = steps
 	for _, st := range steps {
 		if st.unmet == 0 {
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -51,6 +51,10 @@
 	// RecoveredLapse is how long after a takeover a lease that the former owner
 	// gave may still run.
 	RecoveredLapse time.Duration
+	// Adviser reserves a VM for a call to the advising service that takes costMS. It
+	// returns false while all are busy: then what comes first in order asks first
+	// once one is free.
+	Adviser func(costMS int64) (vm string, ok bool)
 	// StopSlack is how long a stop may take.
 	StopSlack time.Duration
 }
@@ -154,6 +158,9 @@
 	// broken: a member of the gang ended; the next attempt waits for the others.
 	broken bool
 
+	// tailMS is the declared run time of the longest chain from here to the end.
+	tailMS int64
+
 	adv  advice
 	rank rank
 }
