Keep a cancellation that is read before its job; model the promises of sched

Ruled out: a late order (the starts were decided 5 s after the cancellation). Change: cancellations of unknown jobs are kept. A randomized model of workers (tokens, leases, lost and late orders, rebirth under one id, owners that change) checks each start; it found that a start sent to a worker reborn under its id was taken for lost and sent again, and that a look after a rebirth could acknowledge ends never seen.

--- a/entry/engine/contact.go
+++ b/entry/engine/contact.go
@@ -16,6 +16,8 @@
 type contact struct {
 	id, addr string
 	listed   bool
+	// born tells the incarnations under one id apart.
+	born int64
 	// clockMS is the worker's clock as of clockAt; 0 is unknown.
 	clockMS int64
 	clockAt clock.Mono
@@ -92,6 +94,9 @@
 		if now.Sub(c.lookedAt) < lookAgain {
 			return
 		}
+		// The worker may have been born again under its id, and counts its ends anew:
+		// an old number would acknowledge ends that were never seen here.
+		c.observed = 0
 	}
 	order := LookOrder{Addr: c.addr, Instance: c.id, Token: t.Token(), Observed: c.observed}
 	if _, ok := e.cfg.Keeper.Extend(); !ok {
@@ -133,14 +138,14 @@
 	}
 	known := c.clockMS != 0
 	c.failures, c.clockMS, c.clockAt = 0, reply.ClockMS, now
+	if reply.BornUnixMS != c.born {
+		// Another incarnation counts its ends anew.
+		c.born, c.observed, c.ackable, c.expiresMS = reply.BornUnixMS, 0, 0, 0
+	}
 	t.state.SetNow(now, e.clk.Wall().UnixMilli())
 	seen := t.state.Observe(sched.Report{
 		Worker: c.id, BornUnixMS: reply.BornUnixMS, SentAt: sent, Running: reply.Running, Ended: reply.Ended,
 	})
-	if seen < c.observed {
-		// Another incarnation counts its ends anew.
-		c.observed, c.ackable, c.expiresMS = 0, 0, 0
-	}
 	if seen > c.ackable {
 		c.ackable, c.ackRound = seen, t.round+1
 		return
--- a/entry/sched/advice.go
+++ b/entry/sched/advice.go
@@ -105,7 +105,7 @@
 // or not known yet, at most most.
 func (s *State) totalRoom(st *step, most int) int {
 	n := 0
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		if s.usable(w, st) && (s.mayUse(st, w) || !st.adv.asked[w.spec.ID]) {
 			n += s.roomFor(w, st, most-n)
 		}
@@ -136,7 +136,7 @@
 // first.
 func (s *State) candidates(st *step) []*worker {
 	var list []fit
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		if !s.usable(w, st) || st.adv.asked[w.spec.ID] || !st.size.Fits(w.spec.Capacity) {
 			continue
 		}
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -95,7 +95,7 @@
 	clear(s.waiting[len(keep):])
 	s.waiting = keep
 	slices.SortStableFunc(s.waiting, func(a, b *step) int { return a.rank.compare(b.rank) })
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		w.keptFor = nil
 	}
 	kept := 0
@@ -137,7 +137,7 @@
 	n = min(n, times(free.MemoryMiB(), st.size.MemoryMiB(), n))
 	n = min(n, times(free.Accelerators(), st.size.Accelerators(), n))
 	if per := st.spec.PerWorker; per > 0 {
-		for r := range st.liveRuns {
+		for _, r := range st.liveRuns.copy() {
 			if r.worker == w {
 				per--
 			}
@@ -169,7 +169,7 @@
 // rack of the data come before all others.
 func (s *State) fitsOf(st *step, n int, allow func(*worker) bool) []fit {
 	out := s.scratch.fits[:0]
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		if !s.usable(w, st) || !allow(w) {
 			continue
 		}
@@ -287,7 +287,7 @@
 
 func (s *State) rackNames() []string {
 	var out []string
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		for _, l := range w.spec.Labels {
 			if len(l) > 1 && !slices.Contains(out, l) {
 				out = append(out, l)
@@ -306,7 +306,7 @@
 		return w.keptFor == nil && s.usable(w, st) && s.mayUse(st, w)
 	}
 	var list []fit
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		if !allow(w) {
 			continue
 		}
@@ -345,8 +345,8 @@
 
 // stopStalled stops runs that make no progress, so that they go on elsewhere.
 func (s *State) stopStalled() {
-	for _, w := range s.workers {
-		for r := range w.runs {
+	for _, w := range s.sorted {
+		for _, r := range w.runs.copy() {
 			st := r.task.step
 			if !r.confirmed || r.stopping || st.spec.Service || st.spec.Filler || r.percent >= complete {
 				continue
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -23,6 +23,11 @@
 	s.setQueue(j)
 	s.jobs[doc.ID] = j
 	j.over = !s.withinRate(s.team(doc.Team))
+	if s.cancelled[doc.ID] {
+		delete(s.cancelled, doc.ID)
+		s.Cancel(doc.ID)
+		return
+	}
 	if doc.Occurrences > 0 {
 		s.due = append(s.due, j)
 		return
@@ -69,7 +74,7 @@
 	steps := make([]*step, len(j.doc.Steps))
 	for i := range j.doc.Steps {
 		spec := &j.doc.Steps[i]
-		st := &step{job: j, run: occurrence, num: i, spec: spec, size: spec.Size(), left: spec.Count, open: spec.Count, liveRuns: make(map[*run]struct{})}
+		st := &step{job: j, run: occurrence, num: i, spec: spec, size: spec.Size(), left: spec.Count, open: spec.Count}
 		st.tasks = make([]*task, spec.Count)
 		for k := range st.tasks {
 			st.tasks[k] = &task{step: st, index: k}
@@ -127,10 +132,15 @@
 	s.waiting = append(s.waiting, st)
 }
 
-// Cancel ends a job that is not complete; what runs of it is stopped.
+// Cancel ends a job that is not complete; what runs of it is stopped. The store
+// lists cancellations apart from jobs, so one may be read before its job.
 func (s *State) Cancel(id string) {
 	j := s.jobs[id]
-	if j == nil || j.final() {
+	if j == nil {
+		s.cancelled[id] = true
+		return
+	}
+	if j.final() {
 		return
 	}
 	s.record(events.Cancel(id))
@@ -148,7 +158,7 @@
 	}
 	for _, steps := range j.runs {
 		for _, st := range steps {
-			for r := range st.liveRuns {
+			for _, r := range st.liveRuns.copy() {
 				s.stop(r)
 			}
 		}
--- /dev/null
+++ b/entry/sched/jobs_test.go
@@ -0,0 +1,142 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/rules"
+)
+
+const testNow = clock.Mono(10 * time.Second)
+
+// newState returns a state with one worker whose list was read, and one queue.
+func newState(t *testing.T, advice *rules.Advice) *State {
+	t.Helper()
+	s := New(Config{
+		StartWithin: 2 * time.Second, RecoveredLapse: 14 * time.Second, StopSlack: 400 * time.Millisecond,
+		Adviser: func(int64) (string, bool) { return "vm", true },
+	})
+	s.SetNow(testNow, 10_000)
+	s.SetRules(rules.New(1, []rules.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2, Advice: advice}},
+		[]rules.Team{{Name: "a", Rate: 100}}, rules.Limits{}))
+	addTestWorker(s, "w0", 1)
+	return s
+}
+
+func addTestWorker(s *State, id string, born int64) {
+	s.PutWorker(WorkerSpec{
+		ID: id, Addr: id, DataCentre: "dc", Service: "svc", Capacity: amount.New(32000, 64000, 0, 0), BornUnixMS: born,
+	})
+	s.Observe(Report{Worker: id, BornUnixMS: born, SentAt: s.now})
+}
+
+const testJob = "00000000000000aa"
+
+func newJob(steps ...graph.Step) *graph.Job {
+	return &graph.Job{ID: testJob, Team: "a", Queue: "q", AcceptedUnixMS: 10_000, Steps: steps}
+}
+
+func taskID(step, index int) graph.TaskID {
+	return graph.TaskID{Job: testJob, Step: step, Index: index}
+}
+
+// startsOf returns the starts among decisions.
+func startsOf(list []Decision) []graph.TaskID {
+	var out []graph.TaskID
+	for _, d := range list {
+		if st, ok := d.(Start); ok {
+			out = append(out, st.Task)
+		}
+	}
+	return out
+}
+
+// TestCancel guards against starting a cancelled job: the store lists
+// cancellations before jobs, so one may be read before its job.
+func TestCancel(t *testing.T) {
+	t.Parallel()
+	add := func(s *State) { s.AddJob(newJob(graph.Step{Count: 2, CPUMilli: 1000})) }
+	cancel := func(s *State) { s.Cancel(testJob) }
+	decide := func(s *State) { s.Decide(testNow) }
+	tests := map[string]struct {
+		do    []func(*State)
+		state JobState
+		stops int
+	}{
+		"before the job is known": {do: []func(*State){cancel, add}, state: JobCancelled},
+		"while it waits":          {do: []func(*State){add, cancel}, state: JobCancelled},
+		"while it runs":           {do: []func(*State){add, decide, cancel}, state: JobCancelled, stops: 2},
+		"twice":                   {do: []func(*State){add, cancel, cancel}, state: JobCancelled},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			for _, f := range tt.do {
+				f(s)
+			}
+			list := s.Decide(testNow.Add(time.Millisecond))
+			stops := 0
+			for _, d := range list {
+				if _, ok := d.(Stop); ok {
+					stops++
+				}
+			}
+			state, _ := s.Job(testJob)
+			if diff := cmp.Diff(tt.state, state); diff != "" {
+				t.Errorf("state (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]graph.TaskID(nil), startsOf(list)); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.stops, stops); diff != "" {
+				t.Errorf("stops (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestReplay guards against a new owner that forgets what was done, starts what
+// may still run, or counts failures anew.
+func TestReplay(t *testing.T) {
+	t.Parallel()
+	start := func(index, attempt int) events.Event { return events.Start(taskID(0, index), attempt, "w0", 1) }
+	end := func(index, attempt int, how events.How) events.Event {
+		return events.End(taskID(0, index), attempt, how, "")
+	}
+	tests := map[string]struct {
+		journal []events.Event
+		state   JobState
+		starts  []graph.TaskID
+	}{
+		"nothing happened":       {state: JobRunning, starts: []graph.TaskID{taskID(0, 0), taskID(0, 1)}},
+		"one is done":            {journal: []events.Event{start(0, 1), end(0, 1, events.HowDone)}, state: JobRunning, starts: []graph.TaskID{taskID(0, 1)}},
+		"one may still run":      {journal: []events.Event{start(0, 1)}, state: JobRunning, starts: []graph.TaskID{taskID(0, 1)}},
+		"all are done":           {journal: []events.Event{start(0, 1), start(1, 1), end(0, 1, events.HowDone), end(1, 1, events.HowDone)}, state: JobDone},
+		"failed as often as may": {journal: []events.Event{start(0, 1), end(0, 1, events.HowFailed), start(0, 2), end(0, 2, events.HowFailed)}, state: JobFailed},
+		"cancelled":              {journal: []events.Event{start(0, 1), events.Cancel(testJob)}, state: JobCancelled},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.AddJob(newJob(graph.Step{Count: 2, CPUMilli: 1000}))
+			s.Replay(tt.journal)
+			s.Recovered(testNow)
+			starts := startsOf(s.Decide(testNow.Add(time.Millisecond)))
+			state, _ := s.Job(testJob)
+			if diff := cmp.Diff(tt.state, state); diff != "" {
+				t.Errorf("state (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.starts, starts); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/sched/model_test.go
@@ -0,0 +1,480 @@
+package sched
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/rules"
+)
+
+// The model drives a State against workers that behave as the platform's do:
+// they check tokens, keep leases, list ends until acknowledged, lose replies and
+// carry orders out late. It checks each start at the worker.
+
+const (
+	modelStep     = 10 * time.Millisecond
+	modelLease    = 7500 * time.Millisecond
+	modelCapacity = 32000
+	modelLimit    = 80000
+	modelAttempts = 2
+)
+
+type modelRun struct {
+	task      graph.TaskID
+	attempt   int
+	cpu       int64
+	ends      clock.Mono
+	how       events.How
+	expires   clock.Mono
+	stopsAt   clock.Mono
+	gangSize  int
+	gangStart clock.Mono
+}
+
+type modelWorker struct {
+	id      string
+	born    int64
+	token   int64
+	runs    map[graph.TaskID]*modelRun
+	sorted  []graph.TaskID       // the keys of runs in the order of their starts
+	barred  map[graph.TaskID]int // highest attempt stopped or ended
+	ended   []Ended
+	number  int64
+	cut     clock.Mono // does not answer before this
+	observe int64
+	looking bool
+}
+
+// order is a call under way to a worker.
+type order struct {
+	at    clock.Mono
+	apply func()
+}
+
+type model struct {
+	t       *testing.T
+	seed    uint64
+	rng     *rand.Rand
+	now     clock.Mono
+	state   *State
+	token   int64
+	workers []*modelWorker
+	jobs    map[string]*graph.Job
+	journal []events.Event
+	cancels map[string]clock.Mono
+	// taken are tasks of which a done end was acknowledged, failed counts those of
+	// failed ends.
+	taken  map[graph.TaskID]bool
+	done   map[graph.TaskID]bool
+	failed map[graph.TaskID]int
+	orders []order
+	next   int
+	starts int
+	calm   bool
+}
+
+func newModel(t *testing.T, seed uint64) *model {
+	m := &model{
+		t: t, seed: seed, rng: rand.New(rand.NewPCG(seed, 1)), now: clock.Mono(time.Second), jobs: make(map[string]*graph.Job),
+		cancels: make(map[string]clock.Mono), taken: make(map[graph.TaskID]bool), done: make(map[graph.TaskID]bool), failed: make(map[graph.TaskID]int),
+	}
+	for i := range 6 {
+		m.workers = append(m.workers, &modelWorker{
+			id: fmt.Sprintf("w%d", i), born: int64(i + 1), runs: make(map[graph.TaskID]*modelRun), barred: make(map[graph.TaskID]int),
+		})
+	}
+	m.takeOver()
+	return m
+}
+
+func (m *model) failf(format string, args ...any) {
+	m.t.Helper()
+	m.t.Fatalf("seed %d at %v: %s", m.seed, time.Duration(m.now), fmt.Sprintf(format, args...))
+}
+
+// takeOver begins a new owner from the journal alone.
+func (m *model) takeOver() {
+	m.token++
+	s := New(Config{
+		StartWithin: 2 * time.Second, RecoveredLapse: 14 * time.Second, StopSlack: 400 * time.Millisecond,
+		Adviser: func(int64) (string, bool) { return "vm", true },
+	})
+	s.SetNow(m.now, m.wall())
+	s.SetRules(rules.New(1, []rules.Queue{{Name: "q", Service: "svc", MaxAttempts: modelAttempts, Stretch: 2}},
+		[]rules.Team{{Name: "a", Limit: amount.New(modelLimit, 0, 0, 0)}}, rules.Limits{}))
+	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
+		s.AddJob(m.jobs[id])
+	}
+	s.Replay(m.journal)
+	s.Recovered(m.now)
+	for _, id := range slices.Sorted(maps.Keys(m.cancels)) {
+		s.Cancel(id)
+	}
+	for _, w := range m.workers {
+		s.PutWorker(WorkerSpec{ID: w.id, Addr: w.id, DataCentre: "dc", Service: "svc", Capacity: amount.New(modelCapacity, 64000, 0, 0), BornUnixMS: w.born})
+		w.observe = 0
+	}
+	m.state = s
+}
+
+func (m *model) wall() int64 { return time.Duration(m.now).Milliseconds() }
+
+// later runs f after the way of a message, or seconds later.
+func (m *model) later(f func()) {
+	wait := time.Duration(m.rng.IntN(5)) * time.Millisecond
+	if !m.calm && m.rng.IntN(40) == 0 {
+		wait = time.Duration(2000+m.rng.IntN(10000)) * time.Millisecond
+	}
+	m.orders = append(m.orders, order{at: m.now.Add(wait), apply: f})
+}
+
+func (m *model) lost() bool { return !m.calm && m.rng.IntN(40) == 0 }
+
+func (m *model) addJob() {
+	m.next++
+	j := &graph.Job{ID: fmt.Sprintf("%016x", m.next), Team: "a", Queue: "q", AcceptedUnixMS: m.wall()}
+	for i := range 1 + m.rng.IntN(3) {
+		st := graph.Step{Count: 1 + m.rng.IntN(5), CPUMilli: int64(1000 + m.rng.IntN(9000)), MemoryMiB: 100, EstimateMS: 800, Gang: m.rng.IntN(3) == 0}
+		for a := range i {
+			if a == 0 || m.rng.IntN(2) == 0 {
+				st.After = append(st.After, a)
+			}
+		}
+		j.Steps = append(j.Steps, st)
+	}
+	m.jobs[j.ID] = j
+	m.state.AddJob(j)
+}
+
+func (m *model) running() int64 {
+	var sum int64
+	for _, w := range m.workers {
+		for _, r := range w.runs {
+			sum += r.cpu
+		}
+	}
+	return sum
+}
+
+// start is a start order that arrives at a worker.
+func (m *model) start(w *modelWorker, born, token int64, id graph.TaskID, attempt int, expires clock.Mono) Outcome {
+	if w.born != born {
+		return OutcomeRejected
+	}
+	if token < w.token {
+		return OutcomeFenced
+	}
+	w.token = token
+	if r := w.runs[id]; r != nil && r.attempt == attempt {
+		return OutcomeStarted
+	}
+	if attempt <= w.barred[id] {
+		return OutcomeOld
+	}
+	if m.now > expires {
+		return OutcomeLate
+	}
+	m.checkStart(w, id, attempt)
+	spec := &m.jobs[id.Job].Steps[id.Step]
+	r := &modelRun{task: id, attempt: attempt, cpu: spec.CPUMilli, expires: expires, how: events.HowDone}
+	if m.rng.IntN(12) == 0 {
+		r.how = events.HowFailed
+	}
+	r.ends = m.now.Add(time.Duration(200+m.rng.IntN(1500)) * time.Millisecond)
+	if spec.Gang {
+		r.gangSize, r.gangStart = spec.Count, m.now
+	}
+	w.runs[id] = r
+	w.sorted = append(w.sorted, id)
+	m.starts++
+	return OutcomeStarted
+}
+
+// checkStart holds the promises that a start can break.
+func (m *model) checkStart(w *modelWorker, id graph.TaskID, attempt int) {
+	m.t.Helper()
+	spec := &m.jobs[id.Job].Steps[id.Step]
+	used := spec.CPUMilli
+	for _, r := range w.runs {
+		used += r.cpu
+	}
+	if used > modelCapacity {
+		m.failf("worker %s over its capacity by the start of %v", w.id, id)
+	}
+	if m.running()+spec.CPUMilli > modelLimit {
+		m.failf("the account over its limit by the start of %v", id)
+	}
+	for _, o := range m.workers {
+		if o.runs[id] != nil {
+			m.failf("%v attempt %d runs on %s already when it starts on %s", id, attempt, o.id, w.id)
+		}
+	}
+	if m.taken[id] {
+		m.failf("%v starts after its end was acknowledged", id)
+	}
+	if m.failed[id] >= modelAttempts {
+		m.failf("%v starts after %d failed runs", id, m.failed[id])
+	}
+	for _, a := range spec.After {
+		for k := range m.jobs[id.Job].Steps[a].Count {
+			if dep := (graph.TaskID{Job: id.Job, Run: id.Run, Step: a, Index: k}); !m.done[dep] {
+				m.failf("%v starts before %v is done", id, dep)
+			}
+		}
+	}
+	if at, ok := m.cancels[id.Job]; ok && m.now.Sub(at) > 3*time.Second {
+		m.failf("%v starts %v after its job was cancelled", id, m.now.Sub(at))
+	}
+}
+
+func (w *modelWorker) end(r *modelRun, how events.How) {
+	w.number++
+	w.barred[r.task] = max(w.barred[r.task], r.attempt)
+	w.ended = append(w.ended, Ended{Number: w.number, Task: r.task, Attempt: r.attempt, How: how})
+	delete(w.runs, r.task)
+	w.sorted = slices.DeleteFunc(w.sorted, func(id graph.TaskID) bool { return id == r.task })
+}
+
+// work moves a worker's runs on.
+func (m *model) work(w *modelWorker) {
+	for _, id := range slices.Clone(w.sorted) {
+		r := w.runs[id]
+		switch {
+		case r == nil:
+		case m.now >= r.expires, r.stopsAt != 0 && m.now >= r.stopsAt:
+			w.end(r, events.HowStopped)
+		case r.gangSize > 0:
+			m.workGang(w, r)
+		case m.now >= r.ends:
+			if r.how == events.HowDone {
+				m.done[id] = true
+			}
+			w.end(r, r.how)
+		}
+	}
+}
+
+// workGang ends a gang's members together, or alone when some are missing.
+func (m *model) workGang(w *modelWorker, r *modelRun) {
+	members := make(map[*modelWorker][]*modelRun)
+	n := 0
+	for _, o := range m.workers {
+		for _, id := range o.sorted {
+			x := o.runs[id]
+			if x.task.StepName() == r.task.StepName() && x.attempt == r.attempt {
+				members[o] = append(members[o], x)
+				n++
+			}
+		}
+	}
+	switch {
+	case n < r.gangSize && m.now.Sub(r.gangStart) > 3*time.Second:
+		w.end(r, events.HowStopped)
+	case n == r.gangSize && m.now >= r.ends:
+		for _, o := range m.workers {
+			for _, x := range members[o] {
+				how := r.how
+				if how == events.HowDone {
+					m.done[x.task] = true
+				} else if x != r {
+					how = events.HowStopped
+				}
+				o.end(x, how)
+			}
+		}
+	}
+}
+
+// look is one exchange with a worker; the report takes its time on the way back,
+// or is lost.
+func (m *model) look(w *modelWorker) {
+	if w.looking {
+		return
+	}
+	if m.now < w.cut {
+		m.state.Silent(w.id)
+		return
+	}
+	if m.token < w.token {
+		m.failf("worker %s has a newer token", w.id)
+	}
+	w.token = m.token
+	sent := m.now
+	keep := w.ended[:0:0]
+	for _, e := range w.ended {
+		if e.Number > w.observe {
+			keep = append(keep, e)
+			continue
+		}
+		switch e.How {
+		case events.HowDone:
+			m.taken[e.Task] = true
+		case events.HowFailed:
+			m.failed[e.Task]++
+		case events.HowStopped, events.HowLost:
+		}
+	}
+	w.ended = keep
+	m.state.Leased(w.id, m.now.Add(modelLease+time.Second))
+	rep := Report{Worker: w.id, BornUnixMS: w.born, SentAt: sent}
+	for _, id := range w.sorted {
+		r := w.runs[id]
+		r.expires = max(r.expires, m.now.Add(modelLease))
+		rep.Running = append(rep.Running, Running{Task: r.task, Attempt: r.attempt, Percent: int(m.now/clock.Mono(modelStep)) % 100})
+	}
+	rep.Ended = append(rep.Ended, w.ended...)
+	if m.lost() {
+		return
+	}
+	state, born := m.state, w.born
+	w.looking = true
+	m.orders = append(m.orders, order{at: m.now.Add(time.Duration(m.rng.IntN(60)) * time.Millisecond), apply: func() {
+		w.looking = false
+		if state != m.state || born != w.born {
+			return
+		}
+		state.SetNow(m.now, m.wall())
+		w.observe = state.Observe(rep)
+		m.journal = append(m.journal, state.TakeEvents()...)
+	}})
+}
+
+func (m *model) worker(id string) *modelWorker {
+	for _, w := range m.workers {
+		if w.id == id {
+			return w
+		}
+	}
+	return nil
+}
+
+// decide stores the events and carries the decisions out.
+func (m *model) decide() {
+	m.state.SetNow(m.now, m.wall())
+	list := m.state.Decide(m.now)
+	m.journal = append(m.journal, m.state.TakeEvents()...)
+	if !m.calm && m.rng.IntN(400) == 0 {
+		return // the owner ends between its journal and its orders
+	}
+	state := m.state
+	for _, d := range list {
+		switch d := d.(type) {
+		case Start:
+			w := m.worker(d.Worker)
+			token, born, expires := m.token, w.born, m.now.Add(2*time.Second)
+			state.Leased(w.id, m.now.Add(modelLease+time.Second))
+			m.later(func() {
+				if m.now < w.cut {
+					state.Started(d.Task, d.Attempt, d.Worker, OutcomeUnknown)
+					return
+				}
+				o := m.start(w, born, token, d.Task, d.Attempt, expires)
+				if m.lost() {
+					o = OutcomeUnknown
+				}
+				state.SetNow(m.now, m.wall())
+				state.Started(d.Task, d.Attempt, d.Worker, o)
+			})
+		case Stop:
+			w := m.worker(d.Worker)
+			token, born := m.token, w.born
+			m.later(func() {
+				if m.now < w.cut || token < w.token || born != w.born {
+					return
+				}
+				w.token = token
+				w.barred[d.Task] = max(w.barred[d.Task], d.Attempt)
+				if r := w.runs[d.Task]; r != nil && r.attempt <= d.Attempt {
+					r.stopsAt = m.now.Add(300 * time.Millisecond)
+				}
+				if !m.lost() {
+					state.SetNow(m.now, m.wall())
+					state.Stopped(d.Task, d.Attempt, d.Worker)
+				}
+			})
+		case Ask, Pace:
+		}
+	}
+}
+
+// trouble picks one fault.
+func (m *model) trouble() {
+	w := m.workers[m.rng.IntN(len(m.workers))]
+	switch m.rng.IntN(4) {
+	case 0: // a crash, and a new incarnation under the same id
+		w.runs, w.barred, w.ended, w.sorted = make(map[graph.TaskID]*modelRun), make(map[graph.TaskID]int), nil, nil
+		// The crash breaks the connection, after which nothing is acknowledged at first.
+		w.number, w.token, w.observe = 0, 0, 0
+		w.born += 100
+	case 1: // a cut
+		w.cut = m.now.Add(time.Duration(500+m.rng.IntN(9000)) * time.Millisecond)
+	case 2:
+		m.takeOver()
+	case 3:
+		id := fmt.Sprintf("%016x", 1+m.rng.IntN(max(1, m.next)))
+		if _, ok := m.cancels[id]; !ok && m.jobs[id] != nil {
+			m.cancels[id] = m.now
+			m.state.Cancel(id)
+		}
+	}
+}
+
+func (m *model) run(steps int) {
+	for i := range steps {
+		m.now = m.now.Add(modelStep)
+		due := m.orders
+		m.orders = nil
+		for _, o := range due {
+			if o.at > m.now {
+				m.orders = append(m.orders, o)
+				continue
+			}
+			o.apply()
+		}
+		for k, w := range m.workers {
+			m.work(w)
+			if i%len(m.workers) == k {
+				m.look(w)
+			}
+		}
+		if !m.calm && i%25 == 0 {
+			m.addJob()
+		}
+		if !m.calm && m.rng.IntN(150) == 0 {
+			m.trouble()
+		}
+		m.decide()
+	}
+}
+
+// TestPromisesUnderFaults guards against starts that break a promise when
+// workers crash, are cut off, answer late or not at all, and owners change; and
+// against jobs that are forgotten once it is calm again.
+func TestPromisesUnderFaults(t *testing.T) {
+	t.Parallel()
+	const seeds = 40
+	starts := 0
+	for seed := range uint64(seeds) {
+		m := newModel(t, seed)
+		m.run(3000)
+		m.calm = true
+		m.run(6000)
+		starts += m.starts
+		for id := range m.jobs {
+			if st, ok := m.state.Job(id); !ok || !st.Final() {
+				t.Errorf("seed %d: job %s is %q after a minute of calm", seed, id, st)
+			}
+		}
+	}
+	if starts < 1000 {
+		t.Errorf("only %d starts in all seeds: the model does not exercise the state", starts)
+	}
+}
--- a/entry/sched/replay.go
+++ b/entry/sched/replay.go
@@ -58,14 +58,7 @@
 	}
 	w := s.workers[e.Worker]
 	if w == nil {
-		w = &worker{spec: WorkerSpec{ID: e.Worker, BornUnixMS: e.Born}, runs: make(map[*run]struct{})}
-		s.workers[e.Worker] = w
-	}
-	if w.spec.BornUnixMS != e.Born && e.Born != 0 {
-		// Either the incarnation ended or a newer one is not known here yet; the
-		// journal's order says that this is the newer one.
-		s.reborn(w)
-		w.spec.BornUnixMS = e.Born
+		w = s.addWorker(WorkerSpec{ID: e.Worker, BornUnixMS: e.Born})
 	}
 	r := s.newRun(t, w, e.Attempt)
 	r.recovered = true
@@ -105,9 +98,9 @@
 // Recovered starts the wait for leases that the former owner may have given.
 func (s *State) Recovered(now clock.Mono) {
 	s.now = max(s.now, now)
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		w.lapse = now.Add(s.cfg.RecoveredLapse)
-		for r := range w.runs {
+		for _, r := range w.runs.copy() {
 			if r.task.step.broken || r.task.step.job.final() {
 				s.stop(r)
 			}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -19,6 +19,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"limpethitch.example/core/amount"
@@ -75,7 +76,7 @@
 type worker struct {
 	spec   WorkerSpec
 	used   amount.Vec
-	runs   map[*run]struct{}
+	runs   runSet
 	listed bool // on the platform's list
 	// fresh: its own list of runs was read since this VM became the owner.
 	fresh bool
@@ -110,12 +111,27 @@
 	stopAt      clock.Mono // when the stop was sent last
 	stopped     bool       // the worker accepted the stop
 	recovered   bool       // known from the journal only
+	listedBorn  int64      // the incarnation that listed it; 0 is none
 
 	percent int
 	movedAt clock.Mono
 	tail    int64
 }
 
+// runSet is a small set of runs in the order in which they were added.
+type runSet []*run
+
+func (s *runSet) add(r *run) { *s = append(*s, r) }
+
+func (s *runSet) remove(r *run) {
+	if i := slices.Index(*s, r); i >= 0 {
+		*s = slices.Delete(*s, i, i+1)
+	}
+}
+
+// copy returns the runs, for loops that may remove some.
+func (s runSet) copy() runSet { return slices.Clone(s) }
+
 type task struct {
 	step     *step
 	index    int
@@ -149,7 +165,7 @@
 	since  clock.Mono
 	queued bool
 	// liveRuns counts runs that have not ended, with earlier attempts.
-	liveRuns map[*run]struct{}
+	liveRuns runSet
 	attempt  int // highest attempt of a gang
 	failures int // failed attempts of a gang
 	saved    string
@@ -198,10 +214,14 @@
 	out     map[string]bool // data centres out of service
 	jobs    map[string]*job
 	workers map[string]*worker
-	teams   map[string]*team
+	// sorted are the workers in the order in which they were added.
+	sorted []*worker
+	teams  map[string]*team
 	// waiting are steps with tasks that wait for a worker, in order.
 	waiting []*step
 	due     []*job // jobs with occurrences still to come
+	// cancelled are jobs whose cancellation was read before the job itself.
+	cancelled map[string]bool
 	// wallOffset turns unix milliseconds into this clock.
 	wallOffset clock.Mono
 
@@ -216,7 +236,7 @@
 func New(cfg Config) *State {
 	return &State{
 		cfg: cfg, out: make(map[string]bool), jobs: make(map[string]*job),
-		workers: make(map[string]*worker), teams: make(map[string]*team),
+		workers: make(map[string]*worker), teams: make(map[string]*team), cancelled: make(map[string]bool),
 	}
 }
 
@@ -237,6 +257,14 @@
 // SetOut says which data centres get nothing new.
 func (s *State) SetOut(dataCentres map[string]bool) { s.out = dataCentres }
 
+// addWorker makes the record of a worker.
+func (s *State) addWorker(spec WorkerSpec) *worker {
+	w := &worker{spec: spec}
+	s.workers[spec.ID] = w
+	s.sorted = append(s.sorted, w)
+	return w
+}
+
 func (s *State) team(name string) *team {
 	t := s.teams[name]
 	if t == nil {
@@ -326,7 +354,7 @@
 // Running returns the number of runs that have not ended.
 func (s *State) Running() int {
 	n := 0
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		n += len(w.runs)
 	}
 	return n
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"limpethitch.example/core/clock"
@@ -13,11 +14,10 @@
 func (s *State) PutWorker(spec WorkerSpec) {
 	w := s.workers[spec.ID]
 	if w == nil {
-		w = &worker{runs: make(map[*run]struct{})}
-		s.workers[spec.ID] = w
+		w = s.addWorker(WorkerSpec{ID: spec.ID})
 	}
 	if w.spec.BornUnixMS != 0 && spec.BornUnixMS != 0 && w.spec.BornUnixMS != spec.BornUnixMS {
-		s.reborn(w)
+		s.reborn(w, spec.BornUnixMS)
 	}
 	if spec.BornUnixMS == 0 {
 		spec.BornUnixMS = w.spec.BornUnixMS
@@ -37,24 +37,40 @@
 func (s *State) forgetWorker(w *worker) {
 	if !w.listed && len(w.runs) == 0 {
 		delete(s.workers, w.spec.ID)
+		s.sorted = slices.DeleteFunc(s.sorted, func(o *worker) bool { return o == w })
 	}
 }
 
-// reborn takes in that a worker's incarnation ended: nothing of before runs.
-func (s *State) reborn(w *worker) {
-	for r := range w.runs {
-		s.endRun(r, events.HowLost, "")
+// reborn takes in that another incarnation runs under the worker's id: what the
+// earlier one listed is over. A start that was not listed yet may have reached
+// either; the next list tells.
+func (s *State) reborn(w *worker, born int64) {
+	for _, r := range w.runs.copy() {
+		if r.listedBorn != 0 && r.listedBorn != born {
+			s.endRun(r, events.HowLost, "")
+		}
 	}
+	w.spec.BornUnixMS = born
+	s.renew(w)
+}
+
+// renew forgets what was known of an incarnation.
+func (s *State) renew(w *worker) {
 	w.seen, w.fresh, w.failStreak, w.suspectUntil = 0, false, 0, 0
 	w.failJobs = nil
 }
 
-// Gone notes that another incarnation answers at the worker's address.
+// Gone notes that an incarnation with another id answers at the worker's address.
 func (s *State) Gone(id string) {
-	if w := s.workers[id]; w != nil {
-		s.reborn(w)
-		s.forgetWorker(w)
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	for _, r := range w.runs.copy() {
+		s.endRun(r, events.HowLost, "")
 	}
+	s.renew(w)
+	s.forgetWorker(w)
 }
 
 // Leased notes that a worker may hold what it runs until lapse.
@@ -73,11 +89,11 @@
 
 // lapseSilent gives up what silent workers ran once every lease there has ended.
 func (s *State) lapseSilent() {
-	for _, w := range s.workers {
+	for _, w := range slices.Clone(s.sorted) {
 		if !w.silent && w.listed || len(w.runs) == 0 || w.lapse == 0 || s.now < w.lapse {
 			continue
 		}
-		for r := range w.runs {
+		for _, r := range w.runs.copy() {
 			if s.now >= r.startBy {
 				s.endRun(r, events.HowLost, "")
 			}
@@ -122,11 +138,8 @@
 	if w == nil {
 		return 0
 	}
-	if w.spec.BornUnixMS != 0 && r.BornUnixMS != 0 && r.BornUnixMS != w.spec.BornUnixMS {
-		s.reborn(w)
-	}
-	if r.BornUnixMS != 0 {
-		w.spec.BornUnixMS = r.BornUnixMS
+	if r.BornUnixMS != 0 && r.BornUnixMS != w.spec.BornUnixMS {
+		s.reborn(w, r.BornUnixMS)
 	}
 	w.silent = false
 	for _, e := range r.Ended {
@@ -153,7 +166,7 @@
 		listed[r] = true
 		s.progress(r, item)
 	}
-	for r := range w.runs {
+	for _, r := range w.runs.copy() {
 		if !listed[r] && s.vanished(w, r, rep.SentAt) {
 			s.endRun(r, events.HowLost, "")
 		}
@@ -180,7 +193,7 @@
 	if t == nil {
 		return nil
 	}
-	for r := range t.step.liveRuns {
+	for _, r := range t.step.liveRuns {
 		if r.task == t && r.worker == w && r.attempt == attempt {
 			return r
 		}
@@ -202,7 +215,7 @@
 		r.confirmed, r.confirmedAt = true, s.now
 		r.movedAt = s.now
 	}
-	r.recovered = false
+	r.recovered, r.listedBorn = false, r.worker.spec.BornUnixMS
 	r.tail = item.Load
 	if item.Percent != r.percent {
 		r.percent, r.movedAt = item.Percent, s.now
@@ -247,11 +260,11 @@
 		s.saved(r, saved)
 	}
 	s.record(events.End(t.id(), r.attempt, how, t.saved))
-	delete(w.runs, r)
+	w.runs.remove(r)
 	w.used = w.used.Sub(r.size)
 	tm := s.team(st.job.doc.Team)
 	tm.used = tm.used.Sub(r.charged)
-	delete(st.liveRuns, r)
+	st.liveRuns.remove(r)
 	if t.run == r {
 		t.run = nil
 		if !t.done {
@@ -283,7 +296,7 @@
 		return
 	}
 	s.doneTask(t)
-	for r := range st.liveRuns {
+	for _, r := range st.liveRuns.copy() {
 		if r.task == t {
 			s.stop(r)
 		}
@@ -324,7 +337,7 @@
 	}
 	st.broken = true
 	if len(st.liveRuns) > 0 {
-		for m := range st.liveRuns {
+		for _, m := range st.liveRuns.copy() {
 			s.stop(m)
 		}
 		return
@@ -353,11 +366,11 @@
 
 // repeatStops sends stops again whose runs have not ended.
 func (s *State) repeatStops() {
-	for _, w := range s.workers {
+	for _, w := range s.sorted {
 		if w.silent {
 			continue
 		}
-		for r := range w.runs {
+		for _, r := range w.runs.copy() {
 			if r.stopping && s.now.Sub(r.stopAt) >= stopAgain {
 				r.stopAt = s.now
 				s.emit(Stop{Task: r.task.id(), Attempt: r.attempt, Worker: w.spec.ID})
@@ -464,8 +477,8 @@
 	st.attempt = max(st.attempt, attempt)
 	t.run = r
 	st.open--
-	st.liveRuns[r] = struct{}{}
-	w.runs[r] = struct{}{}
+	st.liveRuns.add(r)
+	w.runs.add(r)
 	w.used = w.used.Add(r.size)
 	tm := s.team(st.job.doc.Team)
 	tm.used = tm.used.Add(r.charged)
