Take over from a dead owner by evidence; blame no worker from a replay

Ruled out: unreachable workers (they answered their first look). Change: a VM takes over at once from its own former process or when another incarnation answers at the owner's address, and after 1.3 s when nothing listens there; judgements of workers are made from present ends only; a line about the load each second.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -106,6 +106,7 @@
 	unstored  map[string]int64 // finished jobs by the round that stores it
 	pending   map[string]int
 	pendingAt clock.Mono
+	loadAt    clock.Mono // when the load was logged last
 }
 
 // New returns an engine that does nothing before Run.
@@ -213,6 +214,23 @@
 	}
 	e.term.dirty = true
 	e.lookIdle()
+	e.logLoad(e.term)
+}
+
+// loadEvery is the time between two lines about the load.
+const loadEvery = time.Second
+
+func (e *Engine) logLoad(t *term) {
+	now := e.clk.Now()
+	if now.Sub(t.loadAt) < loadEvery {
+		return
+	}
+	t.loadAt = now
+	l := t.state.Load()
+	e.log.Info("load", zap.Int64("epoch", t.Epoch()), zap.Int("waiting_0", l.Waiting[0]), zap.Int("waiting_1", l.Waiting[1]),
+		zap.Int("waiting_2", l.Waiting[2]), zap.Int("missed", l.Missed), zap.Int("asking", l.Asking), zap.Int("unasked", l.Unasked),
+		zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int64("used_cpu", l.UsedCPU), zap.Int64("cpu", l.CPU),
+		zap.Bool("writing", t.writing), zap.Int("members", len(e.members)))
 }
 
 // pump decides and hands the decisions out. It returns when to be called again.
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -2,14 +2,17 @@
 //
 // # Usage
 //
-//	k := lead.New(lead.Config{Store: st, Self: lead.Holder{Name: "vm1", Addr: "10.1.0.17:7420"}}, clk, log)
+//	k := lead.New(lead.Config{Store: st, Self: lead.Holder{VM: "vm1", Name: "vm1-7f3a", Addr: "10.1.0.17:7420"}}, clk, log)
 //	go k.Run(ctx)
 //	if term, ok := k.Authority(); ok { ... }
 //
 // The store holds one record, changed only by compare-and-swap on its revision.
 // The owner renews it every second. Another VM takes over when it has seen the
 // same revision for TakeAfter on its own clock while the store answered it all
-// the while; so an outage of the store for all changes no owner. The owner's
+// the while; so an outage of the store for all changes no owner. It takes over
+// sooner when another incarnation answers at the owner's address, and when nothing
+// listens there and a renewal is overdue. Safety does not rest on these waits: the
+// token and the conditions on TermKey keep a former owner from acting. The owner's
 // authority ends AuthorityFor after it sent its last renewal that succeeded,
 // which is earlier than any other VM may act. Clocks here count the time that a
 // VM is suspended.
@@ -47,6 +50,11 @@
 	// clock drift and a margin for the messages under way.
 	TakeAfter = 2400 * time.Millisecond
 
+	// refusedAfter is how long an unchanged record is waited for when nothing listens
+	// at the owner's address: two renewals that did not come.
+	refusedAfter = 1300 * time.Millisecond
+	probeTimeout = 300 * time.Millisecond
+
 	renewEvery = 600 * time.Millisecond
 	lookEvery  = 400 * time.Millisecond
 	// contactGap is the longest silence of the store that still counts as contact.
@@ -56,6 +64,7 @@
 
 // Holder names a VM's incarnation and the address at which other VMs reach it.
 type Holder struct {
+	VM   string `json:"vm"`
 	Name string `json:"name"`
 	Addr string `json:"addr"`
 }
@@ -82,10 +91,28 @@
 // the revision of TermKey.
 func (t Term) Token() int64 { return t.token }
 
+// Evidence is what a VM finds at the owner's address.
+type Evidence string
+
+// Kinds of evidence.
+const (
+	EvidenceNone     Evidence = "none"
+	EvidenceAlive    Evidence = "alive"
+	EvidenceReplaced Evidence = "replaced"
+	EvidenceRefused  Evidence = "refused"
+)
+
+// Prober looks for the holder of the record.
+type Prober interface {
+	Alive(ctx context.Context, holder, self Holder) Evidence
+}
+
 // Config are the settings of a Keeper.
 type Config struct {
 	Store store.Store
 	Self  Holder
+	// Prober looks for the owner when a renewal is overdue; nil never looks.
+	Prober Prober
 	// Eligible reports whether this VM may take over now.
 	Eligible func() bool
 }
@@ -163,7 +190,7 @@
 		return renewEvery
 	}
 	k.look(ctx)
-	if k.mayTake() {
+	if k.mayTake(ctx) {
 		k.take(ctx)
 	}
 	if _, ok := k.Term(); ok {
@@ -208,18 +235,40 @@
 	}
 }
 
-func (k *Keeper) mayTake() bool {
+func (k *Keeper) mayTake(ctx context.Context) bool {
 	if k.cfg.Eligible != nil && !k.cfg.Eligible() {
 		return false
 	}
 	k.mu.Lock()
-	defer k.mu.Unlock()
 	now := k.clk.Now()
-	if k.released || k.owner || k.contact == 0 || now.Sub(k.contact) > contactGap {
+	holder, unchanged := k.rec.Holder, now.Sub(k.seenAt)
+	able := !k.released && !k.owner && k.contact != 0 && now.Sub(k.contact) <= contactGap
+	free := k.rev == 0 || k.rec.Released
+	k.mu.Unlock()
+	switch {
+	case !able:
+		return false
+	case free, unchanged >= TakeAfter:
+		return true
+	case holder.VM == k.cfg.Self.VM:
+		// An earlier process of this VM, or a takeover whose reply was lost.
+		return true
+	case unchanged < renewEvery || k.cfg.Prober == nil:
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	switch k.cfg.Prober.Alive(ctx, holder, k.cfg.Self) {
+	case EvidenceReplaced:
+		k.log.Info("owner replaced by another incarnation", zap.String("owner", holder.Name))
+		return true
+	case EvidenceRefused:
+		return unchanged >= refusedAfter
+	case EvidenceAlive, EvidenceNone:
+		return false
+	default:
 		return false
 	}
-	// A record that names this VM is from a takeover whose reply was lost.
-	return k.rev == 0 || k.rec.Released || k.rec.Holder == k.cfg.Self || now.Sub(k.seenAt) >= TakeAfter
 }
 
 func (k *Keeper) take(ctx context.Context) {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -35,6 +36,8 @@
 // Handler answers the calls of other VMs. An error with rcode.NotOwner says that
 // this VM does not decide.
 type Handler interface {
+	// Name returns the name of this incarnation.
+	Name() string
 	Hello(ctx context.Context, from lead.Holder) (map[string]int, error)
 	Job(ctx context.Context, id string) (engine.Answer, error)
 	Advise(ctx context.Context, step string, workers []string) ([]sched.Ticket, time.Duration, error)
@@ -59,9 +62,9 @@
 func (s server) Hello(ctx context.Context, r *HelloRequest) (*HelloReply, error) {
 	waiting, err := s.h.Hello(ctx, lead.Holder{Name: r.GetName(), Addr: r.GetAddr()})
 	if err != nil {
-		return &HelloReply{}, nil //nolint:nilerr // the reply says that this VM does not decide
+		return &HelloReply{Name: s.h.Name()}, nil //nolint:nilerr // the reply says that this VM does not decide
 	}
-	out := &HelloReply{Owner: true, Waiting: make(map[string]int32, len(waiting))}
+	out := &HelloReply{Owner: true, Name: s.h.Name(), Waiting: make(map[string]int32, len(waiting))}
 	for q, n := range waiting {
 		out.Waiting[q] = int32(min(n, 1<<30))
 	}
@@ -135,6 +138,24 @@
 	return out, nil
 }
 
+// Alive implements lead.Prober: it looks whether the incarnation that holds the
+// owner's record still runs.
+func (c *Clients) Alive(ctx context.Context, holder, self lead.Holder) lead.Evidence {
+	conn := c.conn(ctx, holder.Addr)
+	defer func() { _ = conn.Close() }()
+	r, err := NewDRPCRelayClient(conn).Hello(ctx, &HelloRequest{Name: self.Name, Addr: self.Addr})
+	switch {
+	case err == nil && r.GetName() == holder.Name:
+		return lead.EvidenceAlive
+	case err == nil:
+		return lead.EvidenceReplaced
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return lead.EvidenceRefused
+	default:
+		return lead.EvidenceNone
+	}
+}
+
 // Job reads a job's state from the owner at addr.
 func (c *Clients) Job(ctx context.Context, addr, id string) (engine.Answer, error) {
 	conn := c.conn(ctx, addr)
--- /dev/null
+++ b/entry/sched/load.go
@@ -0,0 +1,44 @@
+package sched
+
+// Load is how much work there is against what the workers hold.
+type Load struct {
+	// Waiting are the steps that wait, by priority of their queue.
+	Waiting [3]int
+	// Missed are those of them that cannot be in time any more.
+	Missed int
+	// Asking are the steps with a call to the advising service under way, Unasked
+	// those that no call was made for yet.
+	Asking, Unasked int
+	// Runs are the runs that have not ended.
+	Runs int
+	// UsedCPU and CPU are milli-cores of usable workers.
+	UsedCPU, CPU int64
+	// Workers are those that may get work.
+	Workers int
+}
+
+// Load returns the present load.
+func (s *State) Load() Load {
+	var l Load
+	for _, st := range s.waiting {
+		l.Waiting[min(max(st.job.queue.Priority, 0), len(l.Waiting)-1)]++
+		if st.rank.class > classInTime {
+			l.Missed++
+		}
+		if st.adv.asking {
+			l.Asking++
+		} else if st.job.queue.Advice != nil && st.adv.asked == nil {
+			l.Unasked++
+		}
+	}
+	for _, w := range s.sorted {
+		l.Runs += len(w.runs)
+		if !w.listed || !w.fresh || w.silent || w.spec.Draining || s.out[w.spec.DataCentre] || s.now < w.suspectUntil {
+			continue
+		}
+		l.Workers++
+		l.UsedCPU += w.used.CPUMilli()
+		l.CPU += w.spec.Capacity.CPUMilli()
+	}
+	return l
+}
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -449,6 +449,9 @@
 // judge keeps evidence about a worker: failures of different jobs without a
 // success between them.
 func (s *State) judge(w *worker, r *run, how events.How) {
+	if s.replaying {
+		return // evidence of the past says nothing of the worker now
+	}
 	switch how {
 	case events.HowDone:
 		w.failStreak, w.failJobs = 0, nil
