--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -14,6 +14,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -33,13 +34,14 @@
 // Owner answers for the VM that decides.
 type Owner interface {
 	Job(ctx context.Context, id string) (engine.Answer, error)
-	Hello(ctx context.Context, from lead.Holder) (map[string]int, error)
+	Hello(ctx context.Context, from lead.Holder, storeAge time.Duration) (engine.Welcome, error)
 }
 
-// Remote reaches the owner on another VM.
+// Remote reaches other VMs.
 type Remote interface {
 	Job(ctx context.Context, addr, id string) (engine.Answer, error)
-	Hello(ctx context.Context, addr string, self lead.Holder) (map[string]int, error)
+	Hello(ctx context.Context, addr string, self lead.Holder, storeAge time.Duration) (engine.Welcome, error)
+	Create(ctx context.Context, addr, key string, value []byte) rcode.Code
 }
 
 // Config are the settings of a Desk.
@@ -49,6 +51,8 @@
 	Keeper *lead.Keeper
 	Local  Owner
 	Remote Remote
+	// StoreAge returns the time since the store answered this VM last.
+	StoreAge func() time.Duration
 }
 
 // Call is one call of a client.
@@ -63,13 +67,15 @@
 	log *zap.Logger
 
 	set     atomic.Pointer[rules.Set]
-	waiting atomic.Pointer[waiting]
+	welcome atomic.Pointer[welcome]
+	// answered and failed are when the store last answered and last did not.
+	answered, failed atomic.Int64
 }
 
-// waiting is what the owner said of the jobs that wait.
-type waiting struct {
-	byQueue map[string]int
-	at      clock.Mono
+// welcome is what the owner said last.
+type welcome struct {
+	engine.Welcome
+	at clock.Mono
 }
 
 // New returns a desk that refuses everything before SetRules.
@@ -103,6 +109,12 @@
 const (
 	storeTimeout = 700 * time.Millisecond
 	retryPause   = 50 * time.Millisecond
+	// avoidFor is how long after a failure this VM's own way to the store is not
+	// tried first.
+	avoidFor = 400 * time.Millisecond
+	// createTries bounds the VMs that are asked to write for this one.
+	createTries = 2
+	peerTimeout = 600 * time.Millisecond
 )
 
 // Submit accepts a job. build makes the job for the id in the call's path.
@@ -134,24 +146,30 @@
 	return code
 }
 
-// create stores a key unless it exists already. An outcome that stays unknown is
-// answered with the code given, since the write may still take effect.
+// create stores a key unless it exists already: over this VM's own way to the
+// store, or by another VM when the store does not answer this one. It does not wait
+// for the store to come back: the caller is told at once, and may go elsewhere. An
+// outcome that stays unknown is answered with the code given, since the write may
+// still take effect.
 func (d *Desk) create(ctx context.Context, key string, raw []byte, unknown rcode.Code) rcode.Code {
 	maybe := false
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := d.cfg.Store.Commit(call, store.NewTxn().If(key, 0).Put(key, raw))
-		cancel()
-		if err == nil {
+	if !d.avoiding() {
+		switch d.Create(ctx, key, raw) {
+		case rcode.OK:
 			return rcode.OK
-		}
-		if rcode.Of(err) != rcode.StoreUnavailable {
+		case rcode.OutcomeUnknown:
 			maybe = true
+		default:
 		}
-		select {
-		case <-d.clk.After(retryPause):
-		case <-ctx.Done():
+	}
+	for _, addr := range d.others() {
+		call, cancel := context.WithTimeout(ctx, peerTimeout)
+		code := d.cfg.Remote.Create(call, addr, key, raw)
+		cancel()
+		if code == rcode.OK {
+			return rcode.OK
 		}
+		maybe = maybe || code == rcode.OutcomeUnknown
 	}
 	if maybe {
 		return unknown
@@ -159,6 +177,48 @@
 	return rcode.StoreUnavailable
 }
 
+// Create stores a key unless it exists already, over this VM's own way to the
+// store. It returns rcode.OutcomeUnknown when the write may still take effect.
+func (d *Desk) Create(ctx context.Context, key string, raw []byte) rcode.Code {
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := d.cfg.Store.Commit(call, store.NewTxn().If(key, 0).Put(key, raw))
+	switch {
+	case err == nil:
+		d.answered.Store(int64(d.clk.Now()))
+		return rcode.OK
+	case rcode.Of(err) == rcode.StoreUnavailable:
+		d.failed.Store(int64(d.clk.Now()))
+		return rcode.StoreUnavailable
+	default:
+		d.failed.Store(int64(d.clk.Now()))
+		return rcode.OutcomeUnknown
+	}
+}
+
+// avoiding reports whether the store did not answer this VM a moment ago.
+func (d *Desk) avoiding() bool {
+	failed := d.failed.Load()
+	return failed > d.answered.Load() && d.clk.Now().Sub(clock.Mono(failed)) < avoidFor
+}
+
+// others returns addresses of VMs that may reach the store, the owner first.
+func (d *Desk) others() []string {
+	var out []string
+	owner, known := d.cfg.Keeper.Owner()
+	if known && owner.Addr != d.cfg.Self.Addr {
+		out = append(out, owner.Addr)
+	}
+	if w := d.welcome.Load(); w != nil {
+		for _, i := range rand.Perm(len(w.Members)) {
+			if a := w.Members[i]; a != owner.Addr && a != d.cfg.Self.Addr {
+				out = append(out, a)
+			}
+		}
+	}
+	return out[:min(len(out), createTries)]
+}
+
 // exists reports whether a job is stored.
 func (d *Desk) exists(ctx context.Context, id string) (bool, rcode.Code) {
 	for ctx.Err() == nil {
@@ -266,15 +326,15 @@
 	if c.Path != q.Prefix {
 		return 0, rcode.QueueUnknown
 	}
-	w := d.waiting.Load()
+	w := d.welcome.Load()
 	if w == nil || d.clk.Now().Sub(w.at) > waitingFor {
 		return 0, rcode.NoOwner
 	}
-	return w.byQueue[q.Name], rcode.OK
+	return w.Waiting[q.Name], rcode.OK
 }
 
 // helloEvery is the time between two words to the owner.
-const helloEvery = 700 * time.Millisecond
+const helloEvery = 500 * time.Millisecond
 
 // Run tells the owner that this VM is there, until ctx ends.
 func (d *Desk) Run(ctx context.Context) error {
@@ -292,16 +352,22 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerPatience)
 	defer cancel()
 	sent := d.clk.Now()
-	var byQueue map[string]int
-	err := error(nil)
+	age := d.cfg.StoreAge()
+	var w engine.Welcome
+	var err error
+	owner, known := d.cfg.Keeper.Owner()
 	if _, self := d.cfg.Keeper.Term(); self {
-		byQueue, err = d.cfg.Local.Hello(ctx, d.cfg.Self)
-	} else if owner, ok := d.cfg.Keeper.Owner(); ok {
-		byQueue, err = d.cfg.Remote.Hello(ctx, owner.Addr, d.cfg.Self)
+		w, err = d.cfg.Local.Hello(ctx, d.cfg.Self, age)
+	} else if known {
+		w, err = d.cfg.Remote.Hello(ctx, owner.Addr, d.cfg.Self, age)
 	} else {
 		return
 	}
-	if err == nil {
-		d.waiting.Store(&waiting{byQueue: byQueue, at: sent})
+	if err != nil {
+		return
+	}
+	d.welcome.Store(&welcome{Welcome: w, at: sent})
+	if w.Yield {
+		d.cfg.Keeper.Offered(owner)
 	}
 }
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -107,6 +107,7 @@
 	pending   map[string]int
 	pendingAt clock.Mono
 	loadAt    clock.Mono // when the load was logged last
+	offeredAt clock.Mono // when another VM was asked to take over
 }
 
 // New returns an engine that does nothing before Run.
@@ -264,6 +265,10 @@
 func (e *Engine) finishRound(t *term, list []events.Event, starts []sched.Start) {
 	t.round++
 	round := t.round
+	for _, ev := range list {
+		e.log.Info("event", zap.String("kind", ev.Kind.Name()), zap.String("task", ev.Task), zap.Int("attempt", ev.Attempt),
+			zap.String("worker", ev.Worker), zap.String("how", ev.How.Name()), zap.Int64("epoch", t.Epoch()), zap.Int64("round", round))
+	}
 	for _, id := range t.state.TakeFinished() {
 		t.unstored[id] = round
 	}
@@ -277,7 +282,13 @@
 		e.post(func() {
 			t.writing = false
 			if err != nil {
+				// Nothing that follows from these events may happen, and no end that they
+				// record may be acknowledged: the term is over.
 				e.log.Warn("events not stored", logs.Err(err)...)
+				e.cfg.Keeper.Deposed(t.Epoch())
+				if e.term == t {
+					e.leave()
+				}
 				return
 			}
 			e.storedRound(t, round, starts)
@@ -377,13 +388,43 @@
 	return t.pending
 }
 
-// Hello notes that another VM is there and returns, for each queue, how many jobs
-// wait.
-func (e *Engine) Hello(ctx context.Context, from lead.Holder) (map[string]int, error) {
-	var out map[string]int
+// Welcome is the owner's word to another VM.
+type Welcome struct {
+	// Waiting is, for each queue, how many jobs wait for their first start.
+	Waiting map[string]int
+	// Members are the addresses of all VMs that the owner heard of.
+	Members []string
+	// Yield asks the other VM to take over, since the store answers it and not the
+	// owner.
+	Yield bool
+}
+
+const (
+	// yieldAfter is how long the store has not renewed the owner's record when the
+	// owner looks for a VM that reaches the store, yieldFresh how recently the store
+	// answered that VM.
+	yieldAfter = 1100 * time.Millisecond
+	yieldFresh = 500 * time.Millisecond
+	// offerAgain is how long the VM that ownership was offered to has time to take it.
+	offerAgain = 800 * time.Millisecond
+)
+
+// Hello notes that another VM is there, and how long ago the store answered it.
+func (e *Engine) Hello(ctx context.Context, from lead.Holder, storeAge time.Duration) (Welcome, error) {
+	var out Welcome
 	err := e.call(ctx, func(t *term) {
 		e.greet(from)
-		out = t.pendingNow(e.clk.Now())
+		out.Waiting = t.pendingNow(e.clk.Now())
+		for _, m := range e.members {
+			out.Members = append(out.Members, m.Addr)
+		}
+		now := e.clk.Now()
+		out.Yield = from.Name != e.cfg.Self.Name && storeAge < yieldFresh && now.Sub(t.offeredAt) >= offerAgain &&
+			e.cfg.Keeper.Overdue(yieldAfter)
+		if out.Yield {
+			t.offeredAt = now
+			e.log.Warn("store reached by another VM only, ownership offered", zap.String("vm", from.Name))
+		}
 	})
 	return out, err
 }
--- a/entry/events/events.go
+++ b/entry/events/events.go
@@ -46,6 +46,36 @@
 	HowLost How = "l"
 )
 
+// Name returns the kind as log lines spell it.
+func (k Kind) Name() string {
+	switch k {
+	case KindStart:
+		return "start"
+	case KindEnd:
+		return "end"
+	case KindCancel:
+		return "cancel"
+	default:
+		return string(k)
+	}
+}
+
+// Name returns the end as log lines spell it.
+func (h How) Name() string {
+	switch h {
+	case HowDone:
+		return "done"
+	case HowFailed:
+		return "failed"
+	case HowStopped:
+		return "stopped"
+	case HowLost:
+		return "lost"
+	default:
+		return string(h)
+	}
+}
+
 // Event is one entry of the journal. The fields are exported because the type
 // is stored as JSON.
 type Event struct {
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -132,12 +132,15 @@
 	owner    bool
 	renewed  clock.Mono // before the last successful renewal was sent
 	released bool
-	changed  chan struct{}
+	// offeredBy is the holder that asked this VM to take over.
+	offeredBy Holder
+	changed   chan struct{}
+	wake      chan struct{}
 }
 
 // New returns a keeper that does nothing before Run.
 func New(cfg Config, clk clock.Clock, log *zap.Logger) *Keeper {
-	return &Keeper{cfg: cfg, clk: clk, log: log, changed: make(chan struct{}, 1)}
+	return &Keeper{cfg: cfg, clk: clk, log: log, changed: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
 }
 
 // Changed receives after ownership of this VM or the known owner changed.
@@ -149,6 +152,36 @@
 // Extend returns the term while this VM may keep running tasks alive.
 func (k *Keeper) Extend() (Term, bool) { return k.within(ExtendFor) }
 
+// Overdue reports whether this VM owns the record and its last renewal that
+// succeeded was sent more than d ago.
+func (k *Keeper) Overdue(d time.Duration) bool {
+	_, recent := k.within(d)
+	_, owner := k.Term()
+	return owner && !recent
+}
+
+// Deposed takes in that a write of the term failed because another VM took over.
+func (k *Keeper) Deposed(epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.owner && k.term.epoch == epoch {
+		k.owner, k.seenAt, k.contact = false, 0, 0
+		k.log.Warn("ownership lost", zap.Int64("epoch", epoch))
+		k.signal()
+	}
+}
+
+// Offered takes in that a holder asked this VM to take over from it.
+func (k *Keeper) Offered(by Holder) {
+	k.mu.Lock()
+	k.offeredBy = by
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
+
 func (k *Keeper) within(d time.Duration) (Term, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -176,6 +209,7 @@
 		pause := k.step(ctx)
 		select {
 		case <-ctx.Done():
+		case <-k.wake:
 		case <-k.clk.After(pause):
 		}
 	}
@@ -243,7 +277,8 @@
 	now := k.clk.Now()
 	holder, unchanged := k.rec.Holder, now.Sub(k.seenAt)
 	able := !k.released && !k.owner && k.contact != 0 && now.Sub(k.contact) <= contactGap
-	free := k.rev == 0 || k.rec.Released
+	free := k.rev == 0 || k.rec.Released || k.offeredBy != Holder{} && k.offeredBy == holder
+	k.offeredBy = Holder{}
 	k.mu.Unlock()
 	switch {
 	case !able:
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -38,7 +38,8 @@
 type Handler interface {
 	// Name returns the name of this incarnation.
 	Name() string
-	Hello(ctx context.Context, from lead.Holder) (map[string]int, error)
+	Hello(ctx context.Context, from lead.Holder, storeAge time.Duration) (engine.Welcome, error)
+	Create(ctx context.Context, key string, value []byte) rcode.Code
 	Job(ctx context.Context, id string) (engine.Answer, error)
 	Advise(ctx context.Context, step string, workers []string) ([]sched.Ticket, time.Duration, error)
 }
@@ -60,17 +61,22 @@
 
 // Hello implements DRPCRelayServer.
 func (s server) Hello(ctx context.Context, r *HelloRequest) (*HelloReply, error) {
-	waiting, err := s.h.Hello(ctx, lead.Holder{Name: r.GetName(), Addr: r.GetAddr()})
+	w, err := s.h.Hello(ctx, lead.Holder{Name: r.GetName(), Addr: r.GetAddr()}, time.Duration(r.GetStoreAgeMs())*time.Millisecond)
 	if err != nil {
 		return &HelloReply{Name: s.h.Name()}, nil //nolint:nilerr // the reply says that this VM does not decide
 	}
-	out := &HelloReply{Owner: true, Name: s.h.Name(), Waiting: make(map[string]int32, len(waiting))}
-	for q, n := range waiting {
+	out := &HelloReply{Owner: true, Name: s.h.Name(), Members: w.Members, Yield: w.Yield, Waiting: make(map[string]int32, len(w.Waiting))}
+	for q, n := range w.Waiting {
 		out.Waiting[q] = int32(min(n, 1<<30))
 	}
 	return out, nil
 }
 
+// Create implements DRPCRelayServer.
+func (s server) Create(ctx context.Context, r *CreateRequest) (*CreateReply, error) {
+	return &CreateReply{Code: string(s.h.Create(ctx, r.GetKey(), r.GetValue()))}, nil
+}
+
 // Job implements DRPCRelayServer.
 func (s server) Job(ctx context.Context, r *JobRequest) (*JobReply, error) {
 	a, err := s.h.Job(ctx, r.GetId())
@@ -109,35 +115,63 @@
 // Close closes the idle connections.
 func (c *Clients) Close() error { return c.pool.Close() }
 
+// notSent marks an error of connecting: the call never left this VM.
+type notSent struct{ err error }
+
+func (e notSent) Error() string { return e.err.Error() }
+
+func isNotSent(err error) bool {
+	var n notSent
+	return errors.As(err, &n)
+}
+
+func (e notSent) Unwrap() error { return e.err }
+
 func (c *Clients) conn(ctx context.Context, addr string) drpcpool.Conn {
 	return c.pool.Get(ctx, addr, func(ctx context.Context, addr string) (drpcpool.Conn, error) {
 		d := net.Dialer{Timeout: dialTimeout}
 		conn, err := d.DialContext(ctx, "tcp", addr)
 		if err != nil {
-			return nil, err
+			return nil, notSent{err}
 		}
 		return drpcconn.New(conn), nil
 	})
 }
 
 // Hello tells the owner at addr that this VM is there.
-func (c *Clients) Hello(ctx context.Context, addr string, self lead.Holder) (map[string]int, error) {
+func (c *Clients) Hello(ctx context.Context, addr string, self lead.Holder, storeAge time.Duration) (engine.Welcome, error) {
 	conn := c.conn(ctx, addr)
 	defer func() { _ = conn.Close() }()
-	r, err := NewDRPCRelayClient(conn).Hello(ctx, &HelloRequest{Name: self.Name, Addr: self.Addr})
+	req := &HelloRequest{Name: self.Name, Addr: self.Addr, StoreAgeMs: storeAge.Milliseconds()}
+	r, err := NewDRPCRelayClient(conn).Hello(ctx, req)
 	if err != nil {
-		return nil, rcode.Wrap(err, rcode.PeerUnreachable, "relay.Hello %s", addr)
+		return engine.Welcome{}, rcode.Wrap(err, rcode.PeerUnreachable, "relay.Hello %s", addr)
 	}
 	if !r.GetOwner() {
-		return nil, rcode.New(rcode.NotOwner, "relay.Hello %s", addr)
+		return engine.Welcome{}, rcode.New(rcode.NotOwner, "relay.Hello %s", addr)
 	}
-	out := make(map[string]int, len(r.GetWaiting()))
+	out := engine.Welcome{Members: r.GetMembers(), Yield: r.GetYield(), Waiting: make(map[string]int, len(r.GetWaiting()))}
 	for q, n := range r.GetWaiting() {
-		out[q] = int(n)
+		out.Waiting[q] = int(n)
 	}
 	return out, nil
 }
 
+// Create has the VM at addr create a key in the store.
+func (c *Clients) Create(ctx context.Context, addr, key string, value []byte) rcode.Code {
+	conn := c.conn(ctx, addr)
+	defer func() { _ = conn.Close() }()
+	r, err := NewDRPCRelayClient(conn).Create(ctx, &CreateRequest{Key: key, Value: value})
+	switch {
+	case err == nil:
+		return rcode.Code(r.GetCode())
+	case isNotSent(err):
+		return rcode.StoreUnavailable
+	default:
+		return rcode.OutcomeUnknown
+	}
+}
+
 // Alive implements lead.Prober: it looks whether the incarnation that holds the
 // owner's record still runs.
 func (c *Clients) Alive(ctx context.Context, holder, self lead.Holder) lead.Evidence {
