--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -51,6 +51,8 @@
 	// Lease is how long a worker runs on without word from the owner, at most what
 	// the platform allows.
 	Lease time.Duration
+	// StatusFor is how long the state of a finished job must stay readable.
+	StatusFor time.Duration
 	// StopWithin is how long a stop may take on a worker.
 	StopWithin time.Duration
 }
@@ -97,6 +99,7 @@
 	writer  *events.Writer
 	ready   bool
 	workers map[string]*contact
+	folder  folder
 
 	writing   bool
 	stored    int64 // rounds whose events are stored
@@ -215,6 +218,7 @@
 	}
 	e.term.dirty = true
 	e.lookIdle()
+	e.fold(e.term)
 	e.logLoad(e.term)
 }
 
@@ -276,7 +280,7 @@
 	}
 	t.writing = true
 	go func() {
-		err := t.writer.Append(t.ctx, list)
+		key, err := t.writer.Append(t.ctx, list)
 		e.post(func() {
 			t.writing = false
 			if err != nil {
@@ -289,6 +293,7 @@
 				}
 				return
 			}
+			t.folder.add(key, list, t.state.Folded)
 			e.storedRound(t, round, starts)
 		})
 	}()
--- /dev/null
+++ b/entry/engine/fold.go
@@ -0,0 +1,156 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/logs"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/lead"
+)
+
+// folder keeps what lasts small: finished jobs shrink to their state, segments of
+// the journal that speak of finished jobs only go, and states go once nobody may
+// ask for them any more. So a new owner reads what is unfinished, not all history.
+type folder struct {
+	// open counts the jobs of a segment that are not folded, segments holds those of
+	// a job.
+	open     map[string]int
+	segments map[string][]string
+	// empty are segments to remove, expiring the states by the time they may go.
+	empty    []string
+	expiring []expiring
+	busy     bool
+	at       clock.Mono
+}
+
+type expiring struct {
+	id string
+	at clock.Mono
+}
+
+const (
+	// foldEvery is the least time between two writes of the folder.
+	foldEvery = 300 * time.Millisecond
+	// foldMost bounds the keys of one write: the platform takes 32 entries, and one
+	// is the condition.
+	foldMost = 30
+	// foldLeast is how many keys are worth a write of their own.
+	foldLeast = 15
+	// keepSlack is how much longer than it must a state is kept.
+	keepSlack   = 30 * time.Second
+	foldTimeout = time.Second
+)
+
+func newFolder() folder {
+	return folder{open: make(map[string]int), segments: make(map[string][]string)}
+}
+
+// add notes a segment that was stored or loaded. folded reports whether a job is
+// folded already.
+func (f *folder) add(key string, list []events.Event, folded func(id string) bool) {
+	for i := range list {
+		id := list[i].Job()
+		if folded(id) {
+			continue
+		}
+		if segs := f.segments[id]; len(segs) > 0 && segs[len(segs)-1] == key {
+			continue
+		}
+		f.segments[id] = append(f.segments[id], key)
+		f.open[key]++
+	}
+	if f.open[key] == 0 {
+		delete(f.open, key)
+		f.empty = append(f.empty, key)
+	}
+}
+
+// done notes that a job is folded.
+func (f *folder) done(id string) {
+	for _, key := range f.segments[id] {
+		f.open[key]--
+		if f.open[key] == 0 {
+			delete(f.open, key)
+			f.empty = append(f.empty, key)
+		}
+	}
+	delete(f.segments, id)
+}
+
+// fold writes one group of folded jobs, or removes one group of keys.
+func (e *Engine) fold(t *term) {
+	f := &t.folder
+	now := e.clk.Now()
+	if f.busy || now.Sub(f.at) < foldEvery {
+		return
+	}
+	f.at = now
+	txn := store.NewTxn().If(lead.TermKey, t.Token())
+	jobs := t.state.TakeFoldable(foldMost, e.clk.Wall().UnixMilli(), func(id string) bool {
+		_, wait := t.unstored[id]
+		return !wait
+	})
+	for _, j := range jobs {
+		raw, err := j.Encode()
+		if err != nil {
+			e.log.Error("finished job not encoded", logs.Err(err)...)
+			return
+		}
+		txn.Put(JobPrefix+j.ID, raw)
+	}
+	var gone []string
+	if len(jobs) == 0 {
+		gone = e.expired(f, now)
+		for _, key := range gone {
+			txn.Delete(key)
+		}
+	}
+	if len(txn.Ops()) == 0 {
+		return
+	}
+	f.busy = true
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, foldTimeout)
+		defer cancel()
+		res, err := e.cfg.Store.Commit(ctx, txn)
+		e.post(func() { e.foldDone(t, jobs, gone, err == nil && res.Done()) })
+	}()
+}
+
+// expired returns keys that may be removed.
+func (e *Engine) expired(f *folder, now clock.Mono) []string {
+	var out []string
+	for len(f.expiring) > 0 && f.expiring[0].at <= now && len(out)+2 <= foldMost {
+		id := f.expiring[0].id
+		f.expiring = f.expiring[1:]
+		out = append(out, JobPrefix+id, CancelPrefix+id)
+		e.term.state.Forget(id)
+	}
+	if n := min(len(f.empty), foldMost-len(out)); n+len(out) >= foldLeast {
+		out = append(out, f.empty[:n]...)
+		f.empty = f.empty[n:]
+	}
+	return out
+}
+
+func (e *Engine) foldDone(t *term, jobs []*graph.Job, gone []string, ok bool) {
+	if e.term != t {
+		return
+	}
+	t.folder.busy = false
+	if !ok {
+		// A later owner folds or removes them; nothing depends on it.
+		e.log.Warn("finished work not folded", zap.Int("jobs", len(jobs)), zap.Int("keys", len(gone)))
+		return
+	}
+	for _, j := range jobs {
+		t.folder.done(j.ID)
+		t.folder.expiring = append(t.folder.expiring, expiring{id: j.ID, at: e.clk.Now().Add(e.cfg.StatusFor + keepSlack)})
+	}
+}
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -21,7 +21,7 @@
 	jobs    []*graph.Job
 	cancels []string
 	inRev   int64
-	events  []events.Event
+	events  []events.Segment
 	workers []store.KV
 	workRev int64
 }
@@ -35,7 +35,7 @@
 func (e *Engine) begin(lt lead.Term) {
 	ctx, cancel := context.WithCancel(e.ctx)
 	t := &term{
-		Term: lt, ctx: ctx, cancel: cancel, workers: make(map[string]*contact), unstored: make(map[string]int64),
+		Term: lt, ctx: ctx, cancel: cancel, workers: make(map[string]*contact), unstored: make(map[string]int64), folder: newFolder(),
 		writer: events.NewWriter(e.cfg.Store, lead.TermKey, lt.Epoch(), lt.Token(), e.clk, e.log),
 	}
 	t.state = sched.New(sched.Config{
@@ -107,7 +107,19 @@
 	for _, j := range l.jobs {
 		t.state.AddJob(j)
 	}
-	t.state.Replay(l.events)
+	var list []events.Event
+	for _, seg := range l.events {
+		list = append(list, seg.Events...)
+	}
+	t.state.Replay(list)
+	for _, seg := range l.events {
+		t.folder.add(seg.Key, seg.Events, t.state.Folded)
+	}
+	for _, j := range l.jobs {
+		if j.Final != "" {
+			t.folder.expiring = append(t.folder.expiring, expiring{id: j.ID, at: now.Add(e.cfg.StatusFor + keepSlack)})
+		}
+	}
 	t.state.Recovered(now)
 	for _, id := range l.cancels {
 		t.state.Cancel(id)
@@ -115,7 +127,7 @@
 	t.ready, t.dirty = true, true
 	e.listWorkers(t, l.workers)
 	e.lookIdle()
-	e.log.Info("term begun", zap.Int64("epoch", t.Epoch()), zap.Int("jobs", len(l.jobs)), zap.Int("events", len(l.events)),
+	e.log.Info("term begun", zap.Int64("epoch", t.Epoch()), zap.Int("jobs", len(l.jobs)), zap.Int("segments", len(l.events)), zap.Int("events", len(list)),
 		zap.Int("runs", t.state.Running()), zap.Int("workers", len(l.workers)), zap.Int64("took_ms", took.Milliseconds()))
 	go e.watch(t, InPrefix, l.inRev, e.jobChanged, func(kvs []store.KV) {
 		for _, kv := range kvs {
--- a/entry/events/events.go
+++ b/entry/events/events.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	w := events.NewWriter(st, lead.TermKey, epoch, token, clk, log)
-//	err := w.Append(ctx, []events.Event{events.Start(task, attempt, worker, born)})
+//	key, err := w.Append(ctx, []events.Event{events.Start(task, attempt, worker, born)})
 //	segments, err := events.Load(ctx, st)
 //
 // A segment is a key of its own, written on the condition that the key does not
@@ -15,6 +15,7 @@
 
 import (
 	"encoding/json"
+	"strings"
 
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/entry/graph"
@@ -104,6 +105,14 @@
 // Cancel returns the event of a job that was cancelled.
 func Cancel(job string) Event { return Event{Kind: KindCancel, Task: job} }
 
+// Job returns the id of the job that the event belongs to.
+func (e *Event) Job() string {
+	if i := strings.IndexByte(e.Task, '.'); i >= 0 {
+		return e.Task[:i]
+	}
+	return e.Task
+}
+
 // Encode returns the stored form of a segment.
 func Encode(list []Event) ([]byte, error) {
 	raw, err := json.Marshal(list)
--- a/entry/events/writer.go
+++ b/entry/events/writer.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,12 +47,12 @@
 	return &Writer{st: st, termKey: termKey, epoch: epoch, token: token, clk: clk, log: log}
 }
 
-// Append writes one segment and returns when it is stored. rcode.NotOwner means
+// Append writes one segment and returns its key when it is stored. rcode.NotOwner means
 // that the term is over.
-func (w *Writer) Append(ctx context.Context, list []Event) error {
+func (w *Writer) Append(ctx context.Context, list []Event) (string, error) {
 	raw, err := Encode(list)
 	if err != nil {
-		return err
+		return "", err
 	}
 	w.number++
 	key := segmentKey(w.epoch, w.number)
@@ -61,10 +60,10 @@
 		res, err := w.st.Commit(ctx, store.NewTxn().If(w.termKey, w.token).If(key, 0).Put(key, raw))
 		if err == nil {
 			if res.Done() || w.written(ctx, key, raw) {
-				return nil
+				return key, nil
 			}
 			if w.over(ctx) {
-				return rcode.New(rcode.NotOwner, "events.Append %s: the term is over", key)
+				return key, rcode.New(rcode.NotOwner, "events.Append %s: the term is over", key)
 			}
 		}
 		if try == 1 || try%logEveryTries == 0 {
@@ -76,7 +75,7 @@
 		case <-ctx.Done():
 		}
 	}
-	return rcode.New(rcode.NotOwner, "events.Append %s: the term was ended here", key)
+	return key, rcode.New(rcode.NotOwner, "events.Append %s: the term was ended here", key)
 }
 
 // written reports whether an earlier try of the segment took effect.
@@ -91,22 +90,25 @@
 	return err == nil && kv.ModRevision() != w.token
 }
 
-// Load returns all events in the order in which they were written.
-func Load(ctx context.Context, st store.Store) ([]Event, error) {
+// Segment is one stored group of events.
+type Segment struct {
+	Key    string
+	Events []Event
+}
+
+// Load returns all segments in the order in which they were written.
+func Load(ctx context.Context, st store.Store) ([]Segment, error) {
 	kvs, _, err := st.List(ctx, Prefix)
 	if err != nil {
 		return nil, rcode.Wrap(err, rcode.Of(err), "events.Load")
 	}
-	var out []Event
+	out := make([]Segment, 0, len(kvs))
 	for _, kv := range kvs {
-		if !strings.HasPrefix(kv.Key(), Prefix) {
-			continue
-		}
 		list, err := Decode(kv.Value())
 		if err != nil {
 			return nil, rcode.Wrap(err, rcode.Internal, "events.Load %s", kv.Key())
 		}
-		out = append(out, list...)
+		out = append(out, Segment{Key: kv.Key(), Events: list})
 	}
 	return out, nil
 }
--- a/entry/graph/graph.go
+++ b/entry/graph/graph.go
@@ -102,6 +102,16 @@
 	// FirstUnixMS is when the first occurrence is due, EveryMS the time between two.
 	FirstUnixMS int64 `json:"first,omitempty"`
 	EveryMS     int64 `json:"every,omitempty"`
+	// Final is the last state of a job whose steps are not kept any more; EndedUnixMS
+	// is when it was reached.
+	Final       string `json:"final,omitempty"`
+	EndedUnixMS int64  `json:"ended,omitempty"`
+}
+
+// Folded returns what is kept of a finished job: its id, so that it stays one job
+// when it is sent again, and its state.
+func (j *Job) Folded(final string, endedUnixMS int64) *Job {
+	return &Job{ID: j.ID, Final: final, EndedUnixMS: endedUnixMS}
 }
 
 // Check returns all faults of the job.
@@ -109,6 +119,8 @@
 	var faults []string
 	if !ValidID(j.ID) {
 		faults = append(faults, "the id is not 16 hexadecimal digits")
+	} else if j.Final != "" {
+		return nil
 	}
 	if len(j.Spec) > MaxSpecBytes {
 		faults = append(faults, "the spec is longer than "+strconv.Itoa(MaxSpecBytes)+" bytes")
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -132,7 +132,7 @@
 // usable reports whether new tasks of a step may start on a worker at all.
 func (s *State) usable(w *worker, st *step) bool {
 	switch {
-	case !w.listed, !w.fresh, w.silent, w.spec.Draining:
+	case !w.listed, !w.fresh, w.silent, w.spec.Draining, w.strays > 0:
 		return false
 	case s.out[w.spec.DataCentre], s.now < w.suspectUntil:
 		return false
--- /dev/null
+++ b/entry/sched/fold.go
@@ -0,0 +1,48 @@
+package sched
+
+import "limpethitch.example/entry/graph"
+
+// TakeFoldable returns at most n finished jobs of which nothing runs any more and
+// that pass stored, as what is to be kept of them. The state keeps no more of them
+// either.
+func (s *State) TakeFoldable(n int, unixMS int64, stored func(id string) bool) []*graph.Job {
+	var out []*graph.Job
+	keep := s.foldable[:0]
+	for _, j := range s.foldable {
+		if len(out) == n || j.live() || !stored(j.doc.ID) {
+			keep = append(keep, j)
+			continue
+		}
+		j.doc = j.doc.Folded(string(j.state), unixMS)
+		j.runs = nil
+		out = append(out, j.doc)
+	}
+	clear(s.foldable[len(keep):])
+	s.foldable = keep
+	return out
+}
+
+// live reports whether runs of the job have not ended.
+func (j *job) live() bool {
+	for _, steps := range j.runs {
+		for _, st := range steps {
+			if len(st.liveRuns) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Folded reports whether no more than its state is kept of a job, or nothing.
+func (s *State) Folded(id string) bool {
+	j := s.jobs[id]
+	return j == nil || j.doc.Final != ""
+}
+
+// Forget drops a finished job whose state need not be readable any more.
+func (s *State) Forget(id string) {
+	if j := s.jobs[id]; j != nil && j.final() {
+		delete(s.jobs, id)
+	}
+}
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -17,6 +17,10 @@
 	if s.jobs[doc.ID] != nil {
 		return
 	}
+	if doc.Final != "" {
+		s.jobs[doc.ID] = &job{doc: doc, state: JobState(doc.Final), begun: true}
+		return
+	}
 	j := &job{doc: doc, state: JobQueued, runs: make([][]*step, doc.Runs())}
 	j.stepsLeft = doc.Runs() * len(doc.Steps)
 	j.accepted = s.mono(doc.AcceptedUnixMS)
@@ -151,6 +155,7 @@
 // finish gives a job its last state.
 func (s *State) finish(j *job, state JobState) {
 	j.state = state
+	s.foldable = append(s.foldable, j)
 	if !s.replaying {
 		s.finished = append(s.finished, Finished{
 			ID: j.doc.ID, Queue: j.doc.Queue, Team: j.doc.Team, State: state,
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -87,6 +87,10 @@
 	// seen is the number of the last end that was taken in.
 	seen int64
 
+	// strays are listed runs that nothing is known of; until they have ended, the
+	// worker's room is not known.
+	strays int
+
 	failStreak   int
 	failJobs     map[string]struct{}
 	suspectUntil clock.Mono
@@ -234,6 +238,7 @@
 	events    []events.Event
 	decisions []Decision
 	finished  []Finished
+	foldable  []*job // finished jobs that are still kept whole
 	scratch   scratch
 	replaying bool
 }
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -157,6 +157,7 @@
 // compare brings the runs known here in line with those that the worker lists.
 func (s *State) compare(w *worker, rep Report) {
 	listed := make(map[*run]bool, len(rep.Running))
+	w.strays = 0
 	for _, item := range rep.Running {
 		r := s.findRun(w, item.Task, item.Attempt)
 		if r == nil {
@@ -203,6 +204,7 @@
 
 // stray stops a run that should not be there, unless its job is not known yet.
 func (s *State) stray(w *worker, item Running) {
+	w.strays++
 	if t := s.taskOf(item.Task); t != nil {
 		t.attempt = max(t.attempt, item.Attempt)
 		t.step.attempt = max(t.step.attempt, item.Attempt)
