Remove segments beside folding jobs

Cause: each fold had jobs to write, so segments were never removed: 2,201 of them at second 26. Change: one write carries both; segments whose removal failed are tried again.

--- a/entry/engine/fold.go
+++ b/entry/engine/fold.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -36,12 +37,10 @@
 
 const (
 	// foldEvery is the least time between two writes of the folder.
-	foldEvery = 300 * time.Millisecond
+	foldEvery = 200 * time.Millisecond
 	// foldMost bounds the keys of one write: the platform takes 32 entries, and one
 	// is the condition.
 	foldMost = 30
-	// foldLeast is how many keys are worth a write of their own.
-	foldLeast = 15
 	// keepSlack is how much longer than it must a state is kept.
 	keepSlack   = 30 * time.Second
 	foldTimeout = time.Second
@@ -104,12 +103,9 @@
 		}
 		txn.Put(JobPrefix+j.ID, raw)
 	}
-	var gone []string
-	if len(jobs) == 0 {
-		gone = e.expired(f, now)
-		for _, key := range gone {
-			txn.Delete(key)
-		}
+	gone := e.expired(f, now, foldMost-len(jobs))
+	for _, key := range gone {
+		txn.Delete(key)
 	}
 	if len(txn.Ops()) == 0 {
 		return
@@ -123,19 +119,18 @@
 	}()
 }
 
-// expired returns keys that may be removed.
-func (e *Engine) expired(f *folder, now clock.Mono) []string {
+// expired returns at most most keys that may be removed.
+func (e *Engine) expired(f *folder, now clock.Mono, most int) []string {
 	var out []string
-	for len(f.expiring) > 0 && f.expiring[0].at <= now && len(out)+2 <= foldMost {
+	for len(f.expiring) > 0 && f.expiring[0].at <= now && len(out)+2 <= most {
 		id := f.expiring[0].id
 		f.expiring = f.expiring[1:]
 		out = append(out, JobPrefix+id, CancelPrefix+id)
 		e.term.state.Forget(id)
 	}
-	if n := min(len(f.empty), foldMost-len(out)); n+len(out) >= foldLeast {
-		out = append(out, f.empty[:n]...)
-		f.empty = f.empty[n:]
-	}
+	n := min(len(f.empty), most-len(out))
+	out = append(out, f.empty[:n]...)
+	f.empty = f.empty[n:]
 	return out
 }
 
@@ -145,7 +140,12 @@
 	}
 	t.folder.busy = false
 	if !ok {
-		// A later owner folds or removes them; nothing depends on it.
+		// Jobs and states that stay are folded or removed by a later owner.
+		for _, key := range gone {
+			if strings.HasPrefix(key, events.Prefix) {
+				t.folder.empty = append(t.folder.empty, key)
+			}
+		}
 		e.log.Warn("finished work not folded", zap.Int("jobs", len(jobs)), zap.Int("keys", len(gone)))
 		return
 	}
