Remember other VMs, move ownership to a stronger VM, test the whole path

On the grown site (44 VMs of 0.19 to 0.8 cores) the first owner was a weak VM, and a new owner's first looks at 350 workers over new connections all passed their time. Change: a VM remembers the addresses of others and learns the owner by another's word; an owner offers ownership to a VM with 1.5 times its processor, and VMs with less let others go first when it is lost; at most 40 first looks are under way at once. Conclusion: the collapse on the grown sites is not traced yet.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -15,7 +15,9 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,13 +36,13 @@
 // Owner answers for the VM that decides.
 type Owner interface {
 	Job(ctx context.Context, id string) (engine.Answer, error)
-	Hello(ctx context.Context, from lead.Holder, storeAge time.Duration) (engine.Welcome, error)
+	Hello(ctx context.Context, g engine.Greeting) (engine.Welcome, error)
 }
 
 // Remote reaches other VMs.
 type Remote interface {
 	Job(ctx context.Context, addr, id string) (engine.Answer, error)
-	Hello(ctx context.Context, addr string, self lead.Holder, storeAge time.Duration) (engine.Welcome, error)
+	Hello(ctx context.Context, addr string, g engine.Greeting) (engine.Welcome, error)
 	Create(ctx context.Context, addr, key string, value []byte) rcode.Code
 }
 
@@ -51,6 +53,8 @@
 	Keeper *lead.Keeper
 	Local  Owner
 	Remote Remote
+	// CPUMilli is this VM's processor share in thousandths of a core.
+	CPUMilli int64
 	// StoreAge returns the time since the store answered this VM last.
 	StoreAge func() time.Duration
 }
@@ -68,6 +72,11 @@
 
 	set     atomic.Pointer[rules.Set]
 	welcome atomic.Pointer[welcome]
+	// known are addresses of other VMs, kept when the owner is out of reach; hint is
+	// the owner by another VM's word.
+	mu    sync.Mutex
+	known []string
+	hint  lead.Holder
 	// answered and failed are when the store last answered and last did not.
 	answered, failed atomic.Int64
 }
@@ -204,21 +213,57 @@
 
 // others returns addresses of VMs that may reach the store, the owner first.
 func (d *Desk) others() []string {
-	var out []string
-	owner, known := d.cfg.Keeper.Owner()
-	if known && owner.Addr != d.cfg.Self.Addr {
-		out = append(out, owner.Addr)
-	}
-	if w := d.welcome.Load(); w != nil {
-		for _, i := range rand.Perm(len(w.Members)) {
-			if a := w.Members[i]; a != owner.Addr && a != d.cfg.Self.Addr {
-				out = append(out, a)
-			}
+	owner, _ := d.cfg.Keeper.Owner()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]string, 0, createTries)
+	for _, a := range []string{d.hint.Addr, owner.Addr} {
+		if a != "" && a != d.cfg.Self.Addr && !slices.Contains(out, a) {
+			out = append(out, a)
+		}
+	}
+	for _, i := range rand.Perm(len(d.known)) {
+		if a := d.known[i]; a != d.cfg.Self.Addr && !slices.Contains(out, a) {
+			out = append(out, a)
 		}
 	}
 	return out[:min(len(out), createTries)]
 }
 
+// knownMost bounds the addresses kept of VMs that may be gone.
+const knownMost = 64
+
+// Learn keeps the addresses of other VMs.
+func (d *Desk) Learn(addrs []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, a := range addrs {
+		if i := slices.Index(d.known, a); i >= 0 {
+			d.known = slices.Delete(d.known, i, i+1)
+		}
+		d.known = append(d.known, a)
+	}
+	d.known = slices.Delete(d.known, 0, max(0, len(d.known)-knownMost))
+}
+
+// Delay returns how long this VM lets VMs with more processor go first when the
+// owner is lost.
+func (d *Desk) Delay() time.Duration {
+	w := d.welcome.Load()
+	if w == nil {
+		return 0
+	}
+	if i := slices.Index(w.Members, d.cfg.Self.Addr); i >= firstCandidates {
+		return candidateDelay
+	}
+	return 0
+}
+
+const (
+	firstCandidates = 6
+	candidateDelay  = 500 * time.Millisecond
+)
+
 // exists reports whether a job is stored.
 func (d *Desk) exists(ctx context.Context, id string) (bool, rcode.Code) {
 	for ctx.Err() == nil {
@@ -297,9 +342,9 @@
 	for ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, ownerPatience)
 		var a engine.Answer
-		if _, self := d.cfg.Keeper.Term(); self {
+		if _, self := d.cfg.Keeper.Authority(); self {
 			a, err = d.cfg.Local.Job(call, id)
-		} else if owner, ok := d.cfg.Keeper.Owner(); ok {
+		} else if owner, ok := d.owner(); ok {
 			a, err = d.cfg.Remote.Job(call, owner.Addr, id)
 		}
 		cancel()
@@ -314,6 +359,19 @@
 	return engine.Answer{}, err
 }
 
+// owner returns the VM to ask: the owner by another VM's word when there is one,
+// since this VM may not see the record change.
+func (d *Desk) owner() (lead.Holder, bool) {
+	d.mu.Lock()
+	hint := d.hint
+	d.mu.Unlock()
+	if hint.Addr != "" && hint.Addr != d.cfg.Self.Addr {
+		return hint, true
+	}
+	h, ok := d.cfg.Keeper.Owner()
+	return h, ok && h.Addr != d.cfg.Self.Addr
+}
+
 // waitingFor is how old the owner's word on waiting jobs may be.
 const waitingFor = 2 * time.Second
 
@@ -352,22 +410,59 @@
 	ctx, cancel := context.WithTimeout(ctx, ownerPatience)
 	defer cancel()
 	sent := d.clk.Now()
-	age := d.cfg.StoreAge()
+	g := engine.Greeting{From: d.cfg.Self, StoreAge: d.cfg.StoreAge(), CPUMilli: d.cfg.CPUMilli}
 	var w engine.Welcome
 	var err error
-	owner, known := d.cfg.Keeper.Owner()
-	if _, self := d.cfg.Keeper.Term(); self {
-		w, err = d.cfg.Local.Hello(ctx, d.cfg.Self, age)
-	} else if known {
-		w, err = d.cfg.Remote.Hello(ctx, owner.Addr, d.cfg.Self, age)
-	} else {
-		return
+	owner, known := d.owner()
+	switch _, self := d.cfg.Keeper.Authority(); {
+	case self:
+		d.setHint(lead.Holder{})
+		w, err = d.cfg.Local.Hello(ctx, g)
+	case known:
+		w, err = d.cfg.Remote.Hello(ctx, owner.Addr, g)
+	default:
+		err = rcode.New(rcode.NoOwner, "no owner is known")
 	}
 	if err != nil {
+		d.seek(w.Owner, g)
 		return
 	}
 	d.welcome.Store(&welcome{Welcome: w, at: sent})
+	d.Learn(w.Members)
 	if w.Yield {
 		d.cfg.Keeper.Offered(owner)
 	}
 }
+
+func (d *Desk) setHint(h lead.Holder) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if h.Addr != d.hint.Addr && h.Addr != "" {
+		d.log.Info("owner known by another VM's word", zap.String("owner", h.Name), zap.String("addr", h.Addr))
+	}
+	d.hint = h
+}
+
+// seek asks another VM who the owner is, after the one known here did not answer
+// as the owner. told is its own word on that.
+func (d *Desk) seek(told lead.Holder, g engine.Greeting) {
+	d.setHint(lead.Holder{})
+	if told.Addr != "" && told.Addr != d.cfg.Self.Addr {
+		d.setHint(told)
+		return
+	}
+	others := d.others()
+	if len(others) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), ownerPatience)
+	defer cancel()
+	addr := others[len(others)-1]
+	w, err := d.cfg.Remote.Hello(ctx, addr, g)
+	switch {
+	case err == nil:
+		d.setHint(lead.Holder{Addr: addr})
+	case w.Owner.Addr != "":
+		d.setHint(w.Owner)
+	}
+}
--- a/entry/engine/advise.go
+++ b/entry/engine/advise.go
@@ -18,7 +18,8 @@
 // member is another VM that said hello.
 type member struct {
 	lead.Holder
-	heard clock.Mono
+	cpuMilli int64
+	heard    clock.Mono
 	// busyUntil is when the calls that it was given are over, failedAt when one
 	// failed last.
 	busyUntil, failedAt clock.Mono
@@ -56,20 +57,32 @@
 	queueAhead = 30 * time.Millisecond
 )
 
-func (e *Engine) greet(from lead.Holder) {
+func (e *Engine) greet(from lead.Holder, cpuMilli int64) {
 	m := e.members[from.Name]
 	if m == nil {
 		m = &member{Holder: from}
 		e.members[from.Name] = m
 		e.log.Info("member heard", zap.String("vm", from.Name), zap.String("addr", from.Addr))
 	}
-	m.heard = e.clk.Now()
+	m.heard, m.cpuMilli = e.clk.Now(), cpuMilli
+}
+
+// byCPU returns the members, those with the most processor first.
+func (e *Engine) byCPU() []*member {
+	list := make([]*member, 0, len(e.members))
+	for _, m := range e.members {
+		list = append(list, m)
+	}
+	slices.SortFunc(list, func(a, b *member) int {
+		return cmp.Or(cmp.Compare(b.cpuMilli, a.cpuMilli), cmp.Compare(a.Name, b.Name))
+	})
+	return list
 }
 
 // reserve returns a VM that can take a call now and counts the call's time for it.
 func (e *Engine) reserve(costMS int64) (string, bool) {
 	now := e.clk.Now()
-	e.greet(e.cfg.Self)
+	e.greet(e.cfg.Self, e.cfg.CPUMilli)
 	var list []*member
 	for name, m := range e.members {
 		if now.Sub(m.heard) > memberFor {
--- a/entry/engine/contact.go
+++ b/entry/engine/contact.go
@@ -35,13 +35,17 @@
 	// lookWait is how long a worker may wait for an end before it answers a look.
 	lookWait = time.Second
 	// lookSlack is how much longer than that an answer may take.
-	lookSlack = 600 * time.Millisecond
+	lookSlack = 900 * time.Millisecond
 	// ackPatience is how long a look waits for the store, so that it can
 	// acknowledge ends.
 	ackPatience = 600 * time.Millisecond
 	// lookAgain is the pause after a look that failed.
 	lookAgain = 250 * time.Millisecond
 
+	// sweepMost bounds the looks under way that do not wait for an end: after a
+	// takeover all workers are looked at for the first time, over new connections.
+	sweepMost = 40
+
 	startTimeout = 400 * time.Millisecond
 	startTries   = 3
 	stopTimeout  = 500 * time.Millisecond
@@ -111,24 +115,35 @@
 		}
 		order.ExpiresMS = c.expiresMS
 	}
+	if wait == 0 {
+		if t.sweeping >= sweepMost {
+			return
+		}
+		t.sweeping++
+	}
 	order.Wait = wait
 	c.looking = true
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, wait+lookSlack)
 		defer cancel()
 		reply, err := e.cfg.Workers.Look(ctx, order)
-		e.post(func() { e.looked(t, c, now, reply, err) })
+		e.post(func() { e.looked(t, c, now, wait == 0, reply, err) })
 	}()
 }
 
-// looked takes in the answer to a look that was sent at sent.
-func (e *Engine) looked(t *term, c *contact, sent clock.Mono, reply LookReply, err error) {
+// looked takes in the answer to a look that was sent at sent; swept says that it
+// did not wait.
+func (e *Engine) looked(t *term, c *contact, sent clock.Mono, swept bool, reply LookReply, err error) {
 	if e.term != t {
 		return
 	}
 	now := e.clk.Now()
 	c.looking, c.lookedAt = false, now
 	t.dirty = true
+	if swept {
+		t.sweeping--
+		defer e.lookIdle()
+	}
 	if err != nil {
 		e.lookFailed(t, c, err)
 		return
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -39,12 +39,14 @@
 
 // Config are the settings of an Engine.
 type Config struct {
-	Self    lead.Holder
-	Store   store.Store
-	Keeper  *lead.Keeper
-	Workers Workers
-	Adviser Adviser
-	Helper  Helper
+	Self lead.Holder
+	// CPUMilli is this VM's processor share in thousandths of a core.
+	CPUMilli int64
+	Store    store.Store
+	Keeper   *lead.Keeper
+	Workers  Workers
+	Adviser  Adviser
+	Helper   Helper
 	// WorkerPrefix is where the platform lists workers; ParseWorker reads an entry.
 	WorkerPrefix string
 	ParseWorker  ParseWorker
@@ -100,6 +102,8 @@
 	ready   bool
 	workers map[string]*contact
 	folder  folder
+	// sweeping counts the looks under way that do not wait for an end.
+	sweeping int
 
 	writing   bool
 	stored    int64 // rounds whose events are stored
@@ -109,6 +113,7 @@
 	unstored  map[string]int64 // finished jobs by the round that stores it
 	pending   map[string]int
 	pendingAt clock.Mono
+	begunAt   clock.Mono // when the state was loaded
 	loadAt    clock.Mono // when the load was logged last
 	offeredAt clock.Mono // when another VM was asked to take over
 }
@@ -355,6 +360,12 @@
 	Known bool
 }
 
+// Owner returns the owner as far as this VM knows.
+func (e *Engine) Owner() lead.Holder {
+	h, _ := e.cfg.Keeper.Owner()
+	return h
+}
+
 // call runs f in the loop of a ready owner and waits for it.
 func (e *Engine) call(ctx context.Context, f func(t *term)) error {
 	done := make(chan bool, 1)
@@ -400,11 +411,23 @@
 	return t.pending
 }
 
+// Greeting is a VM's word to the owner.
+type Greeting struct {
+	From lead.Holder
+	// StoreAge is how long ago the store answered the VM.
+	StoreAge time.Duration
+	// CPUMilli is its processor share in thousandths of a core.
+	CPUMilli int64
+}
+
 // Welcome is the owner's word to another VM.
 type Welcome struct {
+	// Owner is who decides, where the VM that answers does not.
+	Owner lead.Holder
 	// Waiting is, for each queue, how many jobs wait for their first start.
 	Waiting map[string]int
-	// Members are the addresses of all VMs that the owner heard of.
+	// Members are the addresses of all VMs that the owner heard of, those with the
+	// most processor first.
 	Members []string
 	// Yield asks the other VM to take over, since the store answers it and not the
 	// owner.
@@ -421,22 +444,41 @@
 	offerAgain = 800 * time.Millisecond
 )
 
-// Hello notes that another VM is there, and how long ago the store answered it.
-func (e *Engine) Hello(ctx context.Context, from lead.Holder, storeAge time.Duration) (Welcome, error) {
+// Hello notes that another VM is there.
+func (e *Engine) Hello(ctx context.Context, g Greeting) (Welcome, error) {
 	var out Welcome
 	err := e.call(ctx, func(t *term) {
-		e.greet(from)
+		e.greet(g.From, g.CPUMilli)
 		out.Waiting = t.pendingNow(e.clk.Now())
-		for _, m := range e.members {
+		for _, m := range e.byCPU() {
 			out.Members = append(out.Members, m.Addr)
 		}
-		now := e.clk.Now()
-		out.Yield = from.Name != e.cfg.Self.Name && storeAge < yieldFresh && now.Sub(t.offeredAt) >= offerAgain &&
-			e.cfg.Keeper.Overdue(yieldAfter)
-		if out.Yield {
-			t.offeredAt = now
-			e.log.Warn("store reached by another VM only, ownership offered", zap.String("vm", from.Name))
-		}
+		out.Yield = e.offers(t, g)
 	})
 	return out, err
 }
+
+const (
+	// strongerBy is how much more processor a VM must have for ownership to move to
+	// it when nothing else calls for that.
+	strongerBy = 1.5
+	// settledAfter is how long a term has lasted by then.
+	settledAfter = 2 * time.Second
+)
+
+// offers reports whether the VM that greets is asked to take over: because the
+// store answers it and not the owner, or because it has far more processor.
+func (e *Engine) offers(t *term, g Greeting) bool {
+	now := e.clk.Now()
+	if g.From.Name == e.cfg.Self.Name || g.StoreAge >= yieldFresh || now.Sub(t.offeredAt) < offerAgain {
+		return false
+	}
+	overdue := e.cfg.Keeper.Overdue(yieldAfter)
+	stronger := float64(g.CPUMilli) >= strongerBy*float64(e.cfg.CPUMilli) && now.Sub(t.begunAt) > settledAfter
+	if !overdue && !stronger {
+		return false
+	}
+	t.offeredAt = now
+	e.log.Warn("ownership offered", zap.String("vm", g.From.Name), zap.Bool("store_overdue", overdue), zap.Bool("stronger", stronger))
+	return true
+}
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -124,7 +124,7 @@
 	for _, id := range l.cancels {
 		t.state.Cancel(id)
 	}
-	t.ready, t.dirty = true, true
+	t.ready, t.dirty, t.begunAt = true, true, now
 	e.listWorkers(t, l.workers)
 	e.lookIdle()
 	e.log.Info("term begun", zap.Int64("epoch", t.Epoch()), zap.Int("jobs", len(l.jobs)), zap.Int("segments", len(l.events)), zap.Int("events", len(list)),
--- /dev/null
+++ b/entry/events/events_test.go
@@ -0,0 +1,85 @@
+package events
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/graph"
+)
+
+const termKey = "term"
+
+// lossy carries out the first writes of the journal without a reply.
+type lossy struct {
+	*store.Memory
+	lose int
+}
+
+func (l *lossy) Commit(ctx context.Context, t *store.Txn) (store.Result, error) {
+	res, err := l.Memory.Commit(ctx, t)
+	if l.lose > 0 {
+		l.lose--
+		return store.Result{}, rcode.New(rcode.OutcomeUnknown, "the reply was lost")
+	}
+	return res, err
+}
+
+func begin(t *testing.T, st store.Store) int64 {
+	t.Helper()
+	res, err := st.Commit(context.Background(), store.NewTxn().Put(termKey, nil))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.Revision()
+}
+
+// TestAppend guards against a segment that is stored twice or not at all when
+// replies are lost, and against segments of a former owner.
+func TestAppend(t *testing.T) {
+	t.Parallel()
+	list := []Event{Start(graph.TaskID{Job: "a"}, 1, "w", 7), End(graph.TaskID{Job: "a"}, 1, HowDone, "x"), Cancel("b")}
+	tests := map[string]struct {
+		lose    int
+		deposed bool
+		code    rcode.Code
+		want    []Segment
+	}{
+		"stored":       {code: rcode.OK, want: []Segment{{Key: segmentKey(3, 1), Events: list}}},
+		"reply lost":   {lose: 2, code: rcode.OK, want: []Segment{{Key: segmentKey(3, 1), Events: list}}},
+		"term is over": {deposed: true, code: rcode.NotOwner},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			st := &lossy{Memory: store.NewMemory()}
+			token := begin(t, st)
+			if tt.deposed {
+				begin(t, st)
+			}
+			st.lose = tt.lose
+			ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+			defer cancel()
+			_, err := NewWriter(st, termKey, 3, token, clock.New(), zap.NewNop()).Append(ctx, list)
+			if diff := cmp.Diff(tt.code, rcode.Of(err)); diff != "" {
+				t.Errorf("code (-want +got):\n%s", diff)
+			}
+			got, err := Load(ctx, st)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(got) == 0 {
+				got = nil
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("journal (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -116,6 +116,9 @@
 	Self  Holder
 	// Prober looks for the owner when a renewal is overdue; nil never looks.
 	Prober Prober
+	// Delay returns how long this VM lets others go first when the owner is lost;
+	// nil is not at all.
+	Delay func() time.Duration
 	// Eligible reports whether this VM may take over now.
 	Eligible func() bool
 }
@@ -137,6 +140,7 @@
 	released bool
 	// offeredBy is the holder that asked this VM to take over.
 	offeredBy Holder
+	failing   bool // the last write of the record failed; used by Run alone
 	changed   chan struct{}
 	wake      chan struct{}
 }
@@ -293,7 +297,7 @@
 	switch {
 	case !able:
 		return false
-	case free, unchanged >= TakeAfter:
+	case free, unchanged >= TakeAfter+k.delay():
 		return true
 	case holder.VM == k.cfg.Self.VM:
 		// An earlier process of this VM, or a takeover whose reply was lost.
@@ -308,7 +312,7 @@
 		k.log.Info("owner replaced by another incarnation", zap.String("owner", holder.Name))
 		return true
 	case EvidenceRefused:
-		return unchanged >= refusedAfter
+		return unchanged >= refusedAfter+k.delay()
 	case EvidenceAlive, EvidenceNone:
 		return false
 	default:
@@ -316,6 +320,13 @@
 	}
 }
 
+func (k *Keeper) delay() time.Duration {
+	if k.cfg.Delay == nil {
+		return 0
+	}
+	return k.cfg.Delay()
+}
+
 func (k *Keeper) take(ctx context.Context) {
 	k.mu.Lock()
 	next := record{Holder: k.cfg.Self, Epoch: k.rec.Epoch + 1}
@@ -411,8 +422,9 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	res, err := k.cfg.Store.Commit(ctx, txn)
-	if err != nil {
+	if err != nil && !k.failing {
 		k.log.Warn("owner record not written", logs.Err(err)...)
 	}
+	k.failing = err != nil
 	return res.Revision(), err == nil && res.Done()
 }
--- /dev/null
+++ b/entry/lead/lead_test.go
@@ -0,0 +1,201 @@
+package lead
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+)
+
+// patchy is a store that can be down, or lose the replies of writes.
+type patchy struct {
+	*store.Memory
+	mu         sync.Mutex
+	down, lose bool
+}
+
+func (p *patchy) state() (down, lose bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.down, p.lose
+}
+
+func (p *patchy) set(down, lose bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down, p.lose = down, lose
+}
+
+func (p *patchy) Get(ctx context.Context, key string) (store.KV, error) {
+	if down, _ := p.state(); down {
+		return store.KV{}, rcode.New(rcode.StoreUnavailable, "down")
+	}
+	return p.Memory.Get(ctx, key)
+}
+
+func (p *patchy) Commit(ctx context.Context, t *store.Txn) (store.Result, error) {
+	down, lose := p.state()
+	if down {
+		return store.Result{}, rcode.New(rcode.StoreUnavailable, "down")
+	}
+	res, err := p.Memory.Commit(ctx, t)
+	if lose {
+		return store.Result{}, rcode.New(rcode.OutcomeUnknown, "the reply was lost")
+	}
+	return res, err
+}
+
+// prober returns what the test sets.
+type prober struct{ found Evidence }
+
+func (p *prober) Alive(context.Context, Holder, Holder) Evidence { return p.found }
+
+// pair is two keepers on one fake clock, driven step by step.
+type pair struct {
+	clk    *clock.Fake
+	mem    *store.Memory
+	ways   [2]*patchy
+	probes [2]*prober
+	k      [2]*Keeper
+	names  [2]Holder
+}
+
+func newPair() *pair {
+	p := &pair{clk: clock.NewFake(time.Unix(1000, 0)), mem: store.NewMemory()}
+	p.names = [2]Holder{{VM: "vm0", Name: "vm0-a", Addr: "a0"}, {VM: "vm1", Name: "vm1-a", Addr: "a1"}}
+	for i := range p.k {
+		p.ways[i] = &patchy{Memory: p.mem}
+		p.probes[i] = &prober{found: EvidenceNone}
+		p.k[i] = New(Config{Store: p.ways[i], Self: p.names[i], Prober: p.probes[i]}, p.clk, zap.NewNop())
+	}
+	return p
+}
+
+// run steps the keepers in steps of 100 ms for d; a keeper that is not alive does
+// nothing.
+func (p *pair) run(d time.Duration, alive ...int) {
+	const tick = 100 * time.Millisecond
+	for range int(d / tick) {
+		p.clk.Advance(tick)
+		for _, i := range alive {
+			p.k[i].step(context.Background())
+		}
+	}
+}
+
+// owners returns which keepers have authority.
+func (p *pair) owners() []int {
+	var out []int
+	for i, k := range p.k {
+		if _, ok := k.Authority(); ok {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// TestTakeover guards against two VMs with authority at once, a change of owner
+// that an outage of the store alone causes, and a lost owner that is waited for
+// longer than the evidence calls for.
+func TestTakeover(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		do func(p *pair)
+		// dead says that the first owner's process has ended, whatever the time left
+		// of its authority.
+		dead bool
+		want []int
+	}{
+		"the first takes":             {do: func(*pair) {}, want: []int{0}},
+		"an owner that lives keeps":   {do: func(p *pair) { p.run(10*time.Second, 0, 1) }, want: []int{0}},
+		"a dead owner is replaced":    {do: func(p *pair) { p.run(TakeAfter+time.Second, 1) }, want: []int{1}},
+		"not before its time":         {do: func(p *pair) { p.run(AuthorityFor-200*time.Millisecond, 1) }, want: []int{0}},
+		"an outage changes no owner":  {do: outage, want: []int{0}},
+		"a lost reply loses nothing":  {do: lostReplies, want: []int{0}},
+		"released, taken at once":     {do: func(p *pair) { p.k[0].Release(context.Background()); p.run(200*time.Millisecond, 1) }, want: []int{1}},
+		"another incarnation answers": {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceReplaced; p.run(time.Second, 1) }, want: []int{1}},
+		"nothing listens":             {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceRefused; p.run(refusedAfter+300*time.Millisecond, 1) }, want: []int{1}},
+		"its own former process": {dead: true, do: func(p *pair) {
+			p.k[1] = New(Config{Store: p.ways[1], Self: Holder{VM: "vm0", Name: "vm0-b", Addr: "a0"}}, p.clk, zap.NewNop())
+			p.run(200*time.Millisecond, 1)
+		}, want: []int{1}},
+		"cut from the store, offered": {do: func(p *pair) {
+			p.ways[0].set(true, false)
+			p.run(AuthorityFor, 0)
+			p.k[1].Offered(p.names[0])
+			p.run(100*time.Millisecond, 0, 1)
+		}, want: []int{1}},
+		"offered by one who is not the owner": {do: func(p *pair) {
+			p.k[1].Offered(Holder{VM: "vm9", Name: "vm9-a"})
+			p.run(500*time.Millisecond, 0, 1)
+		}, want: []int{0}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newPair()
+			p.run(300*time.Millisecond, 0)
+			p.run(300*time.Millisecond, 0, 1)
+			tt.do(p)
+			got := p.owners()
+			if tt.dead {
+				got = slices.DeleteFunc(got, func(i int) bool { return i == 0 })
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("owners (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+func outage(p *pair) {
+	p.ways[0].set(true, false)
+	p.ways[1].set(true, false)
+	p.run(10*time.Second, 0, 1)
+	p.ways[0].set(false, false)
+	p.ways[1].set(false, false)
+	p.run(time.Second, 1, 0)
+}
+
+func lostReplies(p *pair) {
+	p.ways[0].set(false, true)
+	p.run(5*time.Second, 0, 1)
+}
+
+// TestTermGuardsWrites guards against a former owner whose conditional write still
+// succeeds: the token is the revision of the term's key.
+func TestTermGuardsWrites(t *testing.T) {
+	t.Parallel()
+	p := newPair()
+	p.run(300*time.Millisecond, 0)
+	former, _ := p.k[0].Term()
+	p.run(TakeAfter+time.Second, 1)
+	present, ok := p.k[1].Term()
+	if !ok || present.Epoch() <= former.Epoch() || present.Token() <= former.Token() {
+		t.Fatalf("terms %+v and %+v, owner %v", former, present, ok)
+	}
+	for name, tt := range map[string]struct {
+		token int64
+		done  bool
+	}{"former": {token: former.Token()}, "present": {token: present.Token(), done: true}} {
+		res, err := p.mem.Commit(context.Background(), store.NewTxn().If(TermKey, tt.token).Put("x/"+name, nil))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(tt.done, res.Done()); diff != "" {
+			t.Errorf("write of the %s owner (-want +got):\n%s", name, diff)
+		}
+	}
+	p.k[0].Deposed(former.Epoch())
+	if _, ok := p.k[0].Term(); ok {
+		t.Error("a deposed owner still has a term")
+	}
+}
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -38,7 +38,9 @@
 type Handler interface {
 	// Name returns the name of this incarnation.
 	Name() string
-	Hello(ctx context.Context, from lead.Holder, storeAge time.Duration) (engine.Welcome, error)
+	Hello(ctx context.Context, from engine.Greeting) (engine.Welcome, error)
+	// Owner returns the owner as far as this VM knows.
+	Owner() lead.Holder
 	Create(ctx context.Context, key string, value []byte) rcode.Code
 	Job(ctx context.Context, id string) (engine.Answer, error)
 	Advise(ctx context.Context, step string, workers []string) ([]sched.Ticket, time.Duration, error)
@@ -61,9 +63,12 @@
 
 // Hello implements DRPCRelayServer.
 func (s server) Hello(ctx context.Context, r *HelloRequest) (*HelloReply, error) {
-	w, err := s.h.Hello(ctx, lead.Holder{Name: r.GetName(), Addr: r.GetAddr()}, time.Duration(r.GetStoreAgeMs())*time.Millisecond)
+	owner := s.h.Owner()
+	w, err := s.h.Hello(ctx, engine.Greeting{
+		From: lead.Holder{Name: r.GetName(), Addr: r.GetAddr()}, StoreAge: time.Duration(r.GetStoreAgeMs()) * time.Millisecond, CPUMilli: r.GetCpuMilli(),
+	})
 	if err != nil {
-		return &HelloReply{Name: s.h.Name()}, nil //nolint:nilerr // the reply says that this VM does not decide
+		return &HelloReply{Name: s.h.Name(), OwnerName: owner.Name, OwnerAddr: owner.Addr}, nil //nolint:nilerr // the reply says that this VM does not decide
 	}
 	out := &HelloReply{Owner: true, Name: s.h.Name(), Members: w.Members, Yield: w.Yield, Waiting: make(map[string]int32, len(w.Waiting))}
 	for q, n := range w.Waiting {
@@ -138,17 +143,19 @@
 	})
 }
 
-// Hello tells the owner at addr that this VM is there.
-func (c *Clients) Hello(ctx context.Context, addr string, self lead.Holder, storeAge time.Duration) (engine.Welcome, error) {
+// Hello tells the VM at addr that this VM is there. One that is not the owner
+// returns rcode.NotOwner and says who is.
+func (c *Clients) Hello(ctx context.Context, addr string, g engine.Greeting) (engine.Welcome, error) {
 	conn := c.conn(ctx, addr)
 	defer func() { _ = conn.Close() }()
-	req := &HelloRequest{Name: self.Name, Addr: self.Addr, StoreAgeMs: storeAge.Milliseconds()}
+	req := &HelloRequest{Name: g.From.Name, Addr: g.From.Addr, StoreAgeMs: g.StoreAge.Milliseconds(), CpuMilli: g.CPUMilli}
 	r, err := NewDRPCRelayClient(conn).Hello(ctx, req)
 	if err != nil {
 		return engine.Welcome{}, rcode.Wrap(err, rcode.PeerUnreachable, "relay.Hello %s", addr)
 	}
 	if !r.GetOwner() {
-		return engine.Welcome{}, rcode.New(rcode.NotOwner, "relay.Hello %s", addr)
+		hint := lead.Holder{Name: r.GetOwnerName(), Addr: r.GetOwnerAddr()}
+		return engine.Welcome{Owner: hint}, rcode.New(rcode.NotOwner, "relay.Hello %s", addr)
 	}
 	out := engine.Welcome{Members: r.GetMembers(), Yield: r.GetYield(), Waiting: make(map[string]int, len(r.GetWaiting()))}
 	for q, n := range r.GetWaiting() {
