Offer ownership to strong VMs, compare offers by address

Ruled out: the store's rate, workers that do not answer (the former owner reached them). Change: offers go to VMs with at least three quarters of the most processor at first, are compared by address; hearsay counts only while the store does not answer.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -359,13 +359,17 @@
 	return engine.Answer{}, err
 }
 
-// owner returns the VM to ask: the owner by another VM's word when there is one,
-// since this VM may not see the record change.
+// hintAfter is how long the store has not answered this VM when another VM's word
+// on the owner counts more than the record read last.
+const hintAfter = time.Second
+
+// owner returns the VM to ask: the owner by the record, or by another VM's word
+// while this VM does not see the record change.
 func (d *Desk) owner() (lead.Holder, bool) {
 	d.mu.Lock()
 	hint := d.hint
 	d.mu.Unlock()
-	if hint.Addr != "" && hint.Addr != d.cfg.Self.Addr {
+	if hint.Addr != "" && hint.Addr != d.cfg.Self.Addr && d.cfg.StoreAge() > hintAfter {
 		return hint, true
 	}
 	h, ok := d.cfg.Keeper.Owner()
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -462,10 +462,24 @@
 	// strongerBy is how much more processor a VM must have for ownership to move to
 	// it when nothing else calls for that.
 	strongerBy = 1.5
+	// strongShare is the part of the most processor of any VM that a strong one has.
+	strongShare = 0.75
+	// yieldAny is after how long an owner without the store offers ownership to a
+	// weak VM too.
+	yieldAny = 2500 * time.Millisecond
 	// settledAfter is how long a term has lasted by then.
 	settledAfter = 2 * time.Second
 )
 
+// strong reports whether a VM is among those with the most processor.
+func (e *Engine) strong(cpuMilli int64) bool {
+	most := e.cfg.CPUMilli
+	for _, m := range e.members {
+		most = max(most, m.cpuMilli)
+	}
+	return float64(cpuMilli) >= strongShare*float64(most)
+}
+
 // offers reports whether the VM that greets is asked to take over: because the
 // store answers it and not the owner, or because it has far more processor.
 func (e *Engine) offers(t *term, g Greeting) bool {
@@ -473,7 +487,7 @@
 	if g.From.Name == e.cfg.Self.Name || g.StoreAge >= yieldFresh || now.Sub(t.offeredAt) < offerAgain {
 		return false
 	}
-	overdue := e.cfg.Keeper.Overdue(yieldAfter)
+	overdue := e.cfg.Keeper.Overdue(yieldAfter) && (e.strong(g.CPUMilli) || e.cfg.Keeper.Overdue(yieldAny))
 	stronger := float64(g.CPUMilli) >= strongerBy*float64(e.cfg.CPUMilli) && now.Sub(t.begunAt) > settledAfter
 	if !overdue && !stronger {
 		return false
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -138,8 +138,8 @@
 	owner    bool
 	renewed  clock.Mono // before the last successful renewal was sent
 	released bool
-	// offeredBy is the holder that asked this VM to take over.
-	offeredBy Holder
+	// offeredBy is the address of the holder that asked this VM to take over.
+	offeredBy string
 	failing   bool // the last write of the record failed; used by Run alone
 	changed   chan struct{}
 	wake      chan struct{}
@@ -181,7 +181,7 @@
 // Offered takes in that a holder asked this VM to take over from it.
 func (k *Keeper) Offered(by Holder) {
 	k.mu.Lock()
-	k.offeredBy = by
+	k.offeredBy = by.Addr
 	k.mu.Unlock()
 	select {
 	case k.wake <- struct{}{}:
@@ -291,8 +291,8 @@
 	now := k.clk.Now()
 	holder, unchanged := k.rec.Holder, now.Sub(k.seenAt)
 	able := !k.released && !k.owner && k.contact != 0 && now.Sub(k.contact) <= contactGap
-	free := k.rev == 0 || k.rec.Released || k.offeredBy != Holder{} && k.offeredBy == holder
-	k.offeredBy = Holder{}
+	free := k.rev == 0 || k.rec.Released || k.offeredBy != "" && k.offeredBy == holder.Addr
+	k.offeredBy = ""
 	k.mu.Unlock()
 	switch {
 	case !able:
--- a/entry/lead/lead_test.go
+++ b/entry/lead/lead_test.go
@@ -134,7 +134,7 @@
 			p.run(100*time.Millisecond, 0, 1)
 		}, want: []int{1}},
 		"offered by one who is not the owner": {do: func(p *pair) {
-			p.k[1].Offered(Holder{VM: "vm9", Name: "vm9-a"})
+			p.k[1].Offered(Holder{VM: "vm9", Name: "vm9-a", Addr: "a9"})
 			p.run(500*time.Millisecond, 0, 1)
 		}, want: []int{0}},
 	}
