Keep the owner while the store is slow; give ownership back in the election's loop

Giving back ran beside a renewal (found by the race detector) and was lost in the slow store. Change: calls for the record may take up to 1.2 s after some that passed their time; an owner offers its place only when the store has answered it nothing for 1.1 s; giving back is done by the election's own loop, with three tries. Segments are removed faster when many are due. Tasks that may run twice start elsewhere while their worker is silent.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -53,6 +53,8 @@
 	// Lease is how long a worker runs on without word from the owner, at most what
 	// the platform allows.
 	Lease time.Duration
+	// StoreAge returns the time since the store answered this VM last.
+	StoreAge func() time.Duration
 	// StatusFor is how long the state of a finished job must stay readable.
 	StatusFor time.Duration
 	// StopWithin is how long a stop may take on a worker.
@@ -435,8 +437,8 @@
 }
 
 const (
-	// yieldAfter is how long the store has not renewed the owner's record when the
-	// owner looks for a VM that reaches the store, yieldFresh how recently the store
+	// yieldAfter is how long the store has answered the owner nothing when the owner
+	// looks for a VM that reaches the store, yieldFresh how recently the store
 	// answered that VM.
 	yieldAfter = 1100 * time.Millisecond
 	yieldFresh = 500 * time.Millisecond
@@ -487,7 +489,7 @@
 	if g.From.Name == e.cfg.Self.Name || g.StoreAge >= yieldFresh || now.Sub(t.offeredAt) < offerAgain {
 		return false
 	}
-	overdue := e.cfg.Keeper.Overdue(yieldAfter) && (e.strong(g.CPUMilli) || e.cfg.Keeper.Overdue(yieldAny))
+	overdue := e.cfg.StoreAge() > yieldAfter && e.cfg.Keeper.Overdue(yieldAfter) && (e.strong(g.CPUMilli) || e.cfg.Keeper.Overdue(yieldAny))
 	stronger := float64(g.CPUMilli) >= strongerBy*float64(e.cfg.CPUMilli) && now.Sub(t.begunAt) > settledAfter
 	if !overdue && !stronger {
 		return false
--- a/entry/engine/fold.go
+++ b/entry/engine/fold.go
@@ -38,6 +38,9 @@
 const (
 	// foldEvery is the least time between two writes of the folder.
 	foldEvery = 200 * time.Millisecond
+	// foldSoon is that time when more than foldBacklog segments are to be removed.
+	foldSoon    = 40 * time.Millisecond
+	foldBacklog = 60
 	// foldMost bounds the keys of one write: the platform takes 32 entries, and one
 	// is the condition.
 	foldMost = 30
@@ -86,7 +89,11 @@
 func (e *Engine) fold(t *term) {
 	f := &t.folder
 	now := e.clk.Now()
-	if f.busy || now.Sub(f.at) < foldEvery {
+	every := foldEvery
+	if len(f.empty) > foldBacklog {
+		every = foldSoon
+	}
+	if f.busy || now.Sub(f.at) < every {
 		return
 	}
 	f.at = now
@@ -139,6 +146,7 @@
 		return
 	}
 	t.folder.busy = false
+	defer e.fold(t)
 	if !ok {
 		// Jobs and states that stay are folded or removed by a later owner.
 		for _, key := range gone {
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -61,8 +61,12 @@
 	lookEvery  = 300 * time.Millisecond
 	// contactGap is the longest silence of the store that still counts as contact.
 	contactGap = 1200 * time.Millisecond
-	// callTimeout passes answers that are 60 times slower than usual.
+	// callTimeout is how long a call to the store may take. It doubles with each call
+	// that passes it, up to slowTimeout, since a slow store changes no owner.
 	callTimeout = 400 * time.Millisecond
+	slowTimeout = 1200 * time.Millisecond
+	// releaseTries bounds the writes that give the record back.
+	releaseTries = 3
 )
 
 // Holder names a VM's incarnation and the address at which other VMs reach it.
@@ -140,14 +144,21 @@
 	released bool
 	// offeredBy is the address of the holder that asked this VM to take over.
 	offeredBy string
-	failing   bool // the last write of the record failed; used by Run alone
-	changed   chan struct{}
-	wake      chan struct{}
+	// patience is how long the next call may take; used by Run alone.
+	patience time.Duration
+	failing  bool // the last write of the record failed; used by Run alone
+	changed  chan struct{}
+	wake     chan struct{}
+	// release has Run give the record back, which closes gaveBack.
+	release, gaveBack chan struct{}
 }
 
 // New returns a keeper that does nothing before Run.
 func New(cfg Config, clk clock.Clock, log *zap.Logger) *Keeper {
-	return &Keeper{cfg: cfg, clk: clk, log: log, changed: make(chan struct{}, 1), wake: make(chan struct{}, 1)}
+	return &Keeper{
+		patience: callTimeout, cfg: cfg, clk: clk, log: log, changed: make(chan struct{}, 1), wake: make(chan struct{}, 1),
+		release: make(chan struct{}, 1), gaveBack: make(chan struct{}),
+	}
 }
 
 // Changed receives after ownership of this VM or the known owner changed.
@@ -217,6 +228,8 @@
 		select {
 		case <-ctx.Done():
 		case <-k.wake:
+		case <-k.release:
+			k.giveBack(ctx)
 		case <-k.clk.After(pause):
 		}
 	}
@@ -240,11 +253,22 @@
 	return lookEvery
 }
 
-// get reads the record within callTimeout.
+// get reads the record.
 func (k *Keeper) get(ctx context.Context) (store.KV, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.patience)
 	defer cancel()
-	return k.cfg.Store.Get(ctx, Key)
+	kv, err := k.cfg.Store.Get(ctx, Key)
+	k.adapt(ctx.Err() != nil)
+	return kv, err
+}
+
+// adapt sets how long the next call may take.
+func (k *Keeper) adapt(timedOut bool) {
+	if timedOut {
+		k.patience = min(2*k.patience, slowTimeout)
+		return
+	}
+	k.patience = callTimeout
 }
 
 // look reads the record.
@@ -393,20 +417,54 @@
 	}
 }
 
-// Release gives the record back, so that another VM may take it at once. This
-// VM does not take it again.
+// Release gives the record back, so that another VM may take it at once, and
+// returns when that is stored or ctx ends. This VM does not take it again. Run must
+// be under way.
 func (k *Keeper) Release(ctx context.Context) {
 	k.mu.Lock()
-	owner, rev, next := k.owner, k.rev, k.rec
+	owner := k.owner
 	k.owner, k.released = false, true
 	k.mu.Unlock()
 	k.signal()
 	if !owner {
 		return
 	}
-	next.Released = true
-	_, ok := k.swap(ctx, rev, next, false)
-	k.log.Info("ownership released", zap.Bool("stored", ok), zap.Int64("epoch", next.Epoch))
+	select {
+	case k.release <- struct{}{}:
+	default:
+	}
+	select {
+	case <-k.gaveBack:
+	case <-ctx.Done():
+		k.log.Warn("ownership not given back in time")
+	}
+}
+
+// giveBack writes the record as released, for as long as nobody else changed it.
+func (k *Keeper) giveBack(ctx context.Context) {
+	defer close(k.gaveBack)
+	k.patience = slowTimeout
+	for range releaseTries {
+		k.mu.Lock()
+		next, rev := k.rec, k.rev
+		k.mu.Unlock()
+		next.Released = true
+		if _, ok := k.swap(ctx, rev, next, false); ok {
+			k.log.Info("ownership given back", zap.Int64("epoch", next.Epoch))
+			return
+		}
+		kv, err := k.get(ctx)
+		if err != nil {
+			continue
+		}
+		var rec record
+		if json.Unmarshal(kv.Value(), &rec) != nil || rec.Holder != next.Holder || rec.Epoch != next.Epoch || rec.Released {
+			return
+		}
+		k.mu.Lock()
+		k.rec, k.rev = rec, kv.ModRevision()
+		k.mu.Unlock()
+	}
 }
 
 func (k *Keeper) swap(ctx context.Context, rev int64, next record, takeover bool) (int64, bool) {
@@ -419,9 +477,10 @@
 	if takeover {
 		txn.Put(TermKey, raw)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, k.patience)
 	defer cancel()
 	res, err := k.cfg.Store.Commit(ctx, txn)
+	k.adapt(ctx.Err() != nil)
 	if err != nil && !k.failing {
 		k.log.Warn("owner record not written", logs.Err(err)...)
 	}
--- a/entry/lead/lead_test.go
+++ b/entry/lead/lead_test.go
@@ -120,7 +120,7 @@
 		"not before its time":         {do: func(p *pair) { p.run(AuthorityFor-200*time.Millisecond, 1) }, want: []int{0}},
 		"an outage changes no owner":  {do: outage, want: []int{0}},
 		"a lost reply loses nothing":  {do: lostReplies, want: []int{0}},
-		"released, taken at once":     {do: func(p *pair) { p.k[0].Release(context.Background()); p.run(200*time.Millisecond, 1) }, want: []int{1}},
+		"released, taken at once":     {do: func(p *pair) { p.giveBack(); p.run(200*time.Millisecond, 1) }, want: []int{1}},
 		"another incarnation answers": {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceReplaced; p.run(time.Second, 1) }, want: []int{1}},
 		"nothing listens":             {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceRefused; p.run(refusedAfter+300*time.Millisecond, 1) }, want: []int{1}},
 		"its own former process": {dead: true, do: func(p *pair) {
@@ -156,6 +156,14 @@
 	}
 }
 
+// giveBack releases the first keeper's record.
+func (p *pair) giveBack() {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	p.k[0].Release(ctx)
+	p.k[0].giveBack(context.Background())
+}
+
 func outage(p *pair) {
 	p.ways[0].set(true, false)
 	p.ways[1].set(true, false)
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -66,6 +66,7 @@
 	s.now = max(s.now, now)
 	s.openDue()
 	s.lapseSilent()
+	s.copySilent()
 	s.repeatStops()
 	s.stopStalled()
 	s.placeWaiting()
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -102,6 +102,25 @@
 	}
 }
 
+// copySilent lets tasks that may run twice start elsewhere while their worker is
+// silent, instead of waiting for its lease to end.
+func (s *State) copySilent() {
+	for _, w := range s.sorted {
+		if !w.silent {
+			continue
+		}
+		for _, r := range w.runs {
+			t := r.task
+			if t.run != r || !t.step.spec.Duplicates || t.step.spec.Gang || t.done || t.step.job.final() {
+				continue
+			}
+			t.run, t.avoid = nil, w
+			t.step.open++
+			s.enqueue(t.step)
+		}
+	}
+}
+
 // Running is one run that a worker lists.
 type Running struct {
 	Task    graph.TaskID
