--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -31,6 +31,7 @@
 	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/rules"
 	"limpethitch.example/entry/sched"
+	"limpethitch.example/entry/stats"
 )
 
 // Owner answers for the VM that decides.
@@ -48,11 +49,12 @@
 
 // Config are the settings of a Desk.
 type Config struct {
-	Self   lead.Holder
-	Store  store.Store
-	Keeper *lead.Keeper
-	Local  Owner
-	Remote Remote
+	Self    lead.Holder
+	Store   store.Store
+	Keeper  *lead.Keeper
+	Local   Owner
+	Remote  Remote
+	Metrics *stats.Metrics
 	// CPUMilli is this VM's processor share in thousandths of a core.
 	CPUMilli int64
 	// StoreAge returns the time since the store answered this VM last.
@@ -93,7 +95,10 @@
 }
 
 // SetRules puts a version of the configuration in force.
-func (d *Desk) SetRules(set *rules.Set) { d.set.Store(set) }
+func (d *Desk) SetRules(set *rules.Set) {
+	d.set.Store(set)
+	d.cfg.Metrics.SetNames(set.Names())
+}
 
 // Rules returns the configuration in force, or nil.
 func (d *Desk) Rules() *rules.Set { return d.set.Load() }
@@ -110,11 +115,31 @@
 	}
 	team, known := set.TeamOf(c.Key)
 	if !known && !q.Public {
-		return nil, "", rcode.KeyMissing
+		return q, "", rcode.KeyMissing
 	}
 	return q, team, rcode.OK
 }
 
+// note counts a response and, where it is a refusal, writes why.
+func (d *Desk) note(call string, q *rules.Queue, team string, c Call, code rcode.Code, began clock.Mono) {
+	name := ""
+	if q != nil {
+		name = q.Name
+	}
+	took := d.clk.Now().Sub(began)
+	d.cfg.Metrics.Call(call, name, team, code, took)
+	if code == rcode.OK || code == rcode.JobUnknown {
+		return
+	}
+	version := int64(0)
+	if set := d.set.Load(); set != nil {
+		version = set.Version()
+	}
+	d.log.Info("call refused", zap.String("call", call), zap.String("path", c.Path), zap.String("queue", name), zap.String("team", team),
+		zap.String("code", string(code)), zap.Int64("rules", version), zap.Int64("took_ms", took.Milliseconds()),
+		zap.Int64("store_age_ms", d.cfg.StoreAge().Milliseconds()))
+}
+
 const (
 	storeTimeout = 700 * time.Millisecond
 	retryPause   = 50 * time.Millisecond
@@ -127,8 +152,10 @@
 )
 
 // Submit accepts a job. build makes the job for the id in the call's path.
-func (d *Desk) Submit(ctx context.Context, c Call, build func(id string) (*graph.Job, error)) rcode.Code {
+func (d *Desk) Submit(ctx context.Context, c Call, build func(id string) (*graph.Job, error)) (code rcode.Code) {
+	began := d.clk.Now()
 	q, team, code := d.admit(c)
+	defer func() { d.note("submit", q, team, c, code, began) }()
 	if code != rcode.OK {
 		return code
 	}
@@ -151,7 +178,8 @@
 	}
 	code = d.create(ctx, engine.JobPrefix+id, raw, rcode.AcceptUnknown)
 	d.log.Info("job submitted", zap.String("id", id), zap.String("queue", q.Name), zap.String("team", team),
-		zap.Int64("rules", d.set.Load().Version()), zap.String("code", string(code)))
+		zap.Int64("rules", d.set.Load().Version()), zap.String("code", string(code)),
+		zap.Int64("took_ms", d.clk.Now().Sub(began).Milliseconds()))
 	return code
 }
 
@@ -285,8 +313,10 @@
 }
 
 // Cancel cancels a job. A job that is complete stays so.
-func (d *Desk) Cancel(ctx context.Context, c Call) rcode.Code {
-	q, _, code := d.admit(c)
+func (d *Desk) Cancel(ctx context.Context, c Call) (code rcode.Code) {
+	began := d.clk.Now()
+	q, team, code := d.admit(c)
+	defer func() { d.note("cancel", q, team, c, code, began) }()
 	if code != rcode.OK {
 		return code
 	}
@@ -310,8 +340,10 @@
 const ownerPatience = 400 * time.Millisecond
 
 // State returns a job's state.
-func (d *Desk) State(ctx context.Context, c Call) (sched.JobState, rcode.Code) {
-	q, _, code := d.admit(c)
+func (d *Desk) State(ctx context.Context, c Call) (state sched.JobState, code rcode.Code) {
+	began := d.clk.Now()
+	q, team, code := d.admit(c)
+	defer func() { d.note("state", q, team, c, code, began) }()
 	if code != rcode.OK {
 		return "", code
 	}
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -26,6 +26,7 @@
 	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/rules"
 	"limpethitch.example/entry/sched"
+	"limpethitch.example/entry/stats"
 )
 
 // Keys in the store.
@@ -52,7 +53,8 @@
 	ParseWorker  ParseWorker
 	// Lease is how long a worker runs on without word from the owner, at most what
 	// the platform allows.
-	Lease time.Duration
+	Lease   time.Duration
+	Metrics *stats.Metrics
 	// StoreAge returns the time since the store answered this VM last.
 	StoreAge func() time.Duration
 	// StatusFor is how long the state of a finished job must stay readable.
@@ -194,6 +196,7 @@
 	e.log.Info("term left", zap.Int64("epoch", e.term.Epoch()))
 	e.term.cancel()
 	e.term = nil
+	e.cfg.Metrics.Owner(false, 0, [3]int{})
 }
 
 // SetRules puts a version of the configuration in force.
@@ -239,6 +242,7 @@
 	}
 	t.loadAt = now
 	l := t.state.Load()
+	e.cfg.Metrics.Owner(true, l.Runs, l.Waiting)
 	e.log.Info("load", zap.Int64("epoch", t.Epoch()), zap.Int("waiting_0", l.Waiting[0]), zap.Int("waiting_1", l.Waiting[1]),
 		zap.Int("waiting_2", l.Waiting[2]), zap.Int("missed", l.Missed), zap.Int("asking", l.Asking), zap.Int("unasked", l.Unasked),
 		zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int64("used_cpu", l.UsedCPU), zap.Int64("cpu", l.CPU),
@@ -277,6 +281,7 @@
 	t.round++
 	round := t.round
 	for _, ev := range list {
+		e.cfg.Metrics.Event(ev.Kind.Name(), ev.How.Name())
 		e.log.Info("event", zap.String("kind", ev.Kind.Name()), zap.String("task", ev.Task), zap.Int("attempt", ev.Attempt),
 			zap.String("worker", ev.Worker), zap.String("how", ev.How.Name()), zap.Int64("epoch", t.Epoch()), zap.Int64("round", round))
 	}
@@ -310,6 +315,7 @@
 func (e *Engine) noteFinished(t *term, round int64) {
 	for _, f := range t.state.TakeFinished() {
 		t.unstored[f.ID] = round
+		e.cfg.Metrics.Job(f.Queue, f.Team, string(f.State), f.Took, f.FirstStart)
 		e.log.Info("job finished", zap.String("id", f.ID), zap.String("queue", f.Queue), zap.String("team", f.Team),
 			zap.String("state", string(f.State)), zap.Int64("took_ms", f.Took.Milliseconds()),
 			zap.Int64("objective_ms", f.Objective.Milliseconds()), zap.Int64("first_start_ms", f.FirstStart.Milliseconds()),
--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -18,6 +18,7 @@
 	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/rules"
 	"limpethitch.example/entry/sched"
+	"limpethitch.example/entry/stats"
 )
 
 const testJob = "00000000000000aa"
@@ -123,7 +124,7 @@
 	}
 	r.keeper = lead.New(lead.Config{Store: r.st, Self: self}, clk, zap.NewNop())
 	r.engine = New(Config{
-		Self: self, Store: r.st, Keeper: r.keeper, Workers: r.worker, StoreAge: func() time.Duration { return 0 }, WorkerPrefix: "workers/", Lease: 7 * time.Second,
+		Self: self, Store: r.st, Keeper: r.keeper, Workers: r.worker, StoreAge: func() time.Duration { return 0 }, Metrics: stats.New(func() int64 { return 0 }), WorkerPrefix: "workers/", Lease: 7 * time.Second,
 		ParseWorker: func(id string, _ []byte) (sched.WorkerSpec, bool) {
 			return sched.WorkerSpec{ID: id, Addr: id, DataCentre: "dc", Service: "svc", Capacity: amount.New(8000, 8000, 0, 0), BornUnixMS: 1}, true
 		},
--- a/entry/rules/rules.go
+++ b/entry/rules/rules.go
@@ -100,6 +100,17 @@
 // Limits returns the bounds on requests.
 func (s *Set) Limits() Limits { return s.limits }
 
+// Names returns the names of all queues and of all client accounts.
+func (s *Set) Names() (queues, teams []string) {
+	for i := range s.queues {
+		queues = append(queues, s.queues[i].Name)
+	}
+	for name := range s.teams {
+		teams = append(teams, name)
+	}
+	return queues, teams
+}
+
 // Match returns the queue of a request.
 func (s *Set) Match(host, path string) (*Queue, bool) {
 	for i := range s.queues {
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -159,7 +159,7 @@
 	if !s.replaying {
 		s.finished = append(s.finished, Finished{
 			ID: j.doc.ID, Queue: j.doc.Queue, Team: j.doc.Team, State: state,
-			Took: s.now.Sub(j.accepted), Objective: j.objective.Sub(j.accepted), FirstStart: j.begunAt.Sub(j.accepted),
+			Took: s.now.Sub(j.accepted), Objective: j.objective.Sub(j.accepted), FirstStart: j.firstStart(),
 		})
 	}
 	if state == JobDone {
@@ -174,6 +174,15 @@
 	}
 }
 
+// firstStart returns the time from a job's acceptance to its first start, or -1
+// when there was none.
+func (j *job) firstStart() time.Duration {
+	if j.begunAt == 0 {
+		return -1
+	}
+	return j.begunAt.Sub(j.accepted)
+}
+
 // taskOf returns a task that exists, opening its occurrence if needed.
 func (s *State) taskOf(id graph.TaskID) *task {
 	j := s.jobs[id.Job]
