--- a/limctl/cli.go
+++ b/limctl/cli.go
@@ -39,6 +39,7 @@
 	Out        outCmd        `cmd:"" help:"Take a data centre out of service."`
 	In         inCmd         `cmd:"" help:"Bring a data centre back into service."`
 	Explain    explainCmd    `cmd:"" help:"Explain the state of a job."`
+	Trace      traceCmd      `cmd:"" help:"Print the story of one job from the logs of all VMs."`
 	Doctor     doctorCmd     `cmd:"" help:"Check settings, entry VMs and the cell."`
 	Completion completionCmd `cmd:"" help:"Print the completion script of a shell."`
 }
--- a/limctl/main.go
+++ b/limctl/main.go
@@ -36,7 +36,7 @@
 found.`
 
 func main() {
-	a := &app{stdout: os.Stdout, stderr: os.Stderr, clock: clock.New(), random: rand.Reader}
+	a := &app{stdin: os.Stdin, stdout: os.Stdout, stderr: os.Stderr, clock: clock.New(), random: rand.Reader}
 	os.Exit(run(a, os.Args[1:]))
 }
 
@@ -76,6 +76,7 @@
 // bytes are replaced by tests.
 type app struct {
 	cli    cli
+	stdin  io.Reader
 	stdout io.Writer
 	stderr io.Writer
 	clock  clock.Clock
