Leave a worker alone that a start did not reach; find out what became of a write

Change: such a worker gets nothing for 0.6 s; a write that may have taken effect is tried for up to 1 s, over other VMs too, before the caller is told that it is not known; cancellations ask the owner first and give up after two reads of the store. Test: TestUnreachedWorker, 50 starts a second before.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -146,6 +146,10 @@
 	// avoidFor is how long after a failure this VM's own way to the store is not
 	// tried first.
 	avoidFor = 400 * time.Millisecond
+	// uncertainFor is how long a write that may have taken effect is tried again.
+	uncertainFor = time.Second
+	// existsTries bounds the reads that tell whether a job is stored.
+	existsTries = 2
 	// createTries bounds the VMs that are asked to write for this one.
 	createTries = 2
 	peerTimeout = 600 * time.Millisecond
@@ -184,18 +188,41 @@
 }
 
 // create stores a key unless it exists already: over this VM's own way to the
-// store, or by another VM when the store does not answer this one. It does not wait
-// for the store to come back: the caller is told at once, and may go elsewhere. An
-// outcome that stays unknown is answered with the code given, since the write may
-// still take effect.
+// store, or by another VM when the store does not answer this one. When nothing can
+// have been written it does not wait for the store to come back: the caller is told
+// at once, and may go elsewhere. When a write may have taken effect it tries for
+// uncertainFor to find out, since "not accepted" would be untrue; an outcome that
+// stays unknown is answered with the code given.
 func (d *Desk) create(ctx context.Context, key string, raw []byte, unknown rcode.Code) rcode.Code {
 	maybe := false
+	end := d.clk.Now().Add(uncertainFor)
+	for {
+		code := d.createAnywhere(ctx, key, raw)
+		maybe = maybe || code == rcode.OutcomeUnknown
+		switch {
+		case code == rcode.OK:
+			return rcode.OK
+		case !maybe:
+			return rcode.StoreUnavailable
+		case ctx.Err() != nil || d.clk.Now() >= end:
+			return unknown
+		}
+		select {
+		case <-d.clk.After(retryPause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// createAnywhere tries each way to the store once.
+func (d *Desk) createAnywhere(ctx context.Context, key string, raw []byte) rcode.Code {
+	worst := rcode.StoreUnavailable
 	if !d.avoiding() {
 		switch d.Create(ctx, key, raw) {
 		case rcode.OK:
 			return rcode.OK
 		case rcode.OutcomeUnknown:
-			maybe = true
+			worst = rcode.OutcomeUnknown
 		default:
 		}
 	}
@@ -203,15 +230,15 @@
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
 		code := d.cfg.Remote.Create(call, addr, key, raw)
 		cancel()
-		if code == rcode.OK {
+		switch code {
+		case rcode.OK:
 			return rcode.OK
+		case rcode.OutcomeUnknown:
+			worst = rcode.OutcomeUnknown
+		default:
 		}
-		maybe = maybe || code == rcode.OutcomeUnknown
-	}
-	if maybe {
-		return unknown
 	}
-	return rcode.StoreUnavailable
+	return worst
 }
 
 // Create stores a key unless it exists already, over this VM's own way to the
@@ -294,7 +321,7 @@
 
 // exists reports whether a job is stored.
 func (d *Desk) exists(ctx context.Context, id string) (bool, rcode.Code) {
-	for ctx.Err() == nil {
+	for range existsTries {
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
 		_, err := d.cfg.Store.Get(call, engine.JobPrefix+id)
 		cancel()
@@ -307,11 +334,23 @@
 		select {
 		case <-d.clk.After(retryPause):
 		case <-ctx.Done():
+			return false, rcode.StoreUnavailable
 		}
 	}
 	return false, rcode.StoreUnavailable
 }
 
+// knows reports whether there is a job, by the owner's word or by the store's.
+func (d *Desk) knows(ctx context.Context, id string) (bool, rcode.Code) {
+	call, cancel := context.WithTimeout(ctx, ownerPatience)
+	a, err := d.askOwner(call, id)
+	cancel()
+	if err == nil && a.Known {
+		return true, rcode.OK
+	}
+	return d.exists(ctx, id)
+}
+
 // Cancel cancels a job. A job that is complete stays so.
 func (d *Desk) Cancel(ctx context.Context, c Call) (code rcode.Code) {
 	began := d.clk.Now()
@@ -324,7 +363,7 @@
 	if !graph.ValidID(id) {
 		return rcode.JobUnknown
 	}
-	ok, code := d.exists(ctx, id)
+	ok, code := d.knows(ctx, id)
 	if code != rcode.OK {
 		return code
 	}
--- a/entry/engine/contact.go
+++ b/entry/engine/contact.go
@@ -193,7 +193,7 @@
 func (e *Engine) start(t *term, st sched.Start) {
 	c := t.workers[st.Worker]
 	if c == nil || c.clockMS == 0 {
-		t.state.Started(st.Task, st.Attempt, st.Worker, sched.OutcomeRejected)
+		t.state.Started(st.Task, st.Attempt, st.Worker, sched.OutcomeWithdrawn)
 		t.dirty = true
 		return
 	}
@@ -241,7 +241,7 @@
 		unanswered = true
 	}
 	if !unanswered {
-		return sched.OutcomeRejected
+		return sched.OutcomeWithdrawn
 	}
 	return sched.OutcomeUnknown
 }
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -337,7 +337,7 @@
 	_, ok := e.cfg.Keeper.Authority()
 	for _, st := range starts {
 		if !ok || now.Sub(t.decidedAt) > startWithin/2 {
-			t.state.Started(st.Task, st.Attempt, st.Worker, sched.OutcomeRejected)
+			t.state.Started(st.Task, st.Attempt, st.Worker, sched.OutcomeWithdrawn)
 			t.dirty = true
 			continue
 		}
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -140,3 +140,36 @@
 		})
 	}
 }
+
+// TestUnreachedWorker guards against sending the same start over and over to a
+// worker that cannot be connected to: each try costs a journal write.
+func TestUnreachedWorker(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		outcome Outcome
+		starts  int
+	}{
+		"unreached": {outcome: OutcomeUnreached, starts: 2},
+		"rejected":  {outcome: OutcomeRejected, starts: 2},
+		"withdrawn": {outcome: OutcomeWithdrawn, starts: 50},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000}))
+			starts := 0
+			for i := range 50 {
+				for _, d := range s.Decide(testNow.Add(time.Duration(i) * 20 * time.Millisecond)) {
+					if st, ok := d.(Start); ok {
+						starts++
+						s.Started(st.Task, st.Attempt, st.Worker, tt.outcome)
+					}
+				}
+			}
+			if diff := cmp.Diff(tt.starts, starts); diff != "" {
+				t.Errorf("starts within a second (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -416,6 +416,10 @@
 	OutcomeFenced    Outcome = "fenced"
 	OutcomeUnhealthy Outcome = "unhealthy"
 	OutcomeRejected  Outcome = "rejected"
+	// OutcomeUnreached: no connection to the worker was made.
+	OutcomeUnreached Outcome = "unreached"
+	// OutcomeWithdrawn: the start was not sent.
+	OutcomeWithdrawn Outcome = "withdrawn"
 	OutcomeUnknown   Outcome = "unknown"
 )
 
@@ -445,7 +449,11 @@
 		delete(r.task.step.adv.tickets, workerID)
 	case OutcomeUnhealthy:
 		w.suspectUntil = max(w.suspectUntil, s.now.Add(suspectFor))
-	case OutcomeNoRoom, OutcomeLate, OutcomeOld, OutcomeFenced, OutcomeRejected:
+	case OutcomeUnreached, OutcomeRejected:
+		// The next look tells whether the worker is there; until then the work goes
+		// elsewhere.
+		w.suspectUntil = max(w.suspectUntil, s.now.Add(unreachedFor))
+	case OutcomeNoRoom, OutcomeLate, OutcomeOld, OutcomeFenced, OutcomeWithdrawn:
 	}
 	s.endRun(r, events.HowLost, "")
 }
@@ -465,6 +473,8 @@
 const (
 	// suspectFor is how long a worker that fails different jobs gets nothing.
 	suspectFor = 4 * time.Second
+	// unreachedFor is how long a worker that a start did not reach gets nothing.
+	unreachedFor = 600 * time.Millisecond
 	// suspectAfter is how many failures in a row make a worker suspect; one is
 	// within what sound workers show.
 	suspectAfter = 2
