--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -519,9 +519,10 @@
 	w.used = w.used.Add(r.size)
 	tm := s.team(st.job.doc.Team)
 	tm.used = tm.used.Add(r.charged)
-	if !st.job.begun {
-		st.job.begun, st.job.begunAt = true, s.now
+	if !st.job.begun && !s.replaying {
+		st.job.begunAt = s.now // a replay does not tell when it was
 	}
+	st.job.begun = true
 	if st.job.state == JobQueued {
 		st.job.state = JobRunning
 	}
