--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -446,7 +446,7 @@
 	// yieldAfter is how long the store has answered the owner nothing when the owner
 	// looks for a VM that reaches the store, yieldFresh how recently the store
 	// answered that VM.
-	yieldAfter = 1100 * time.Millisecond
+	yieldAfter = 800 * time.Millisecond
 	yieldFresh = 500 * time.Millisecond
 	// offerAgain is how long the VM that ownership was offered to has time to take it.
 	offerAgain = 800 * time.Millisecond
--- /dev/null
+++ b/entry/sched/advice_test.go
@@ -0,0 +1,68 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/rules"
+)
+
+// newBusyState returns a state with eight workers and queues of the three usual
+// kinds. slots bounds the calls for advice that are under way.
+func newBusyState(slots *int) *State {
+	s := New(Config{
+		StartWithin: 2 * time.Second, RecoveredLapse: 14 * time.Second, StopSlack: 400 * time.Millisecond,
+		Adviser: func(int64) (string, bool) {
+			if *slots == 0 {
+				return "", false
+			}
+			*slots--
+			return "vm", true
+		},
+	})
+	s.SetNow(testNow, 10_000)
+	advice := &rules.Advice{BaseMS: 10, PerWorkerMS: 0.1, ValidMS: 2500}
+	s.SetRules(rules.New(1, []rules.Queue{
+		{Name: "urgent", Service: "svc", Priority: 0, MaxAttempts: 2, Stretch: 1.5, TargetMS: 250, Advice: advice},
+		{Name: "slow", Service: "svc", Priority: 2, MaxAttempts: 2, Stretch: 4, TargetMS: 3000, Advice: advice},
+	}, []rules.Team{{Name: "a", Rate: 1e6}}, rules.Limits{}))
+	for i := range 8 {
+		addTestWorker(s, fmt.Sprintf("w%d", i), 1)
+	}
+	return s
+}
+
+func queueJob(n int, queue string, steps ...graph.Step) *graph.Job {
+	return &graph.Job{ID: fmt.Sprintf("%016x", n), Team: "a", Queue: queue, AcceptedUnixMS: 10_000, Steps: steps}
+}
+
+// TestAdviceInOrder guards against calls for advice that are made in the order in
+// which jobs came: under load short urgent jobs then wait behind all others.
+func TestAdviceInOrder(t *testing.T) {
+	t.Parallel()
+	slots := 0
+	s := newBusyState(&slots)
+	step := graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 1000}
+	for i := range 20 {
+		s.AddJob(queueJob(i, "slow", step))
+	}
+	for i := 20; i < 23; i++ {
+		s.AddJob(queueJob(i, "urgent", step))
+	}
+	s.Decide(testNow)
+	slots = 4
+	var got []string
+	for _, d := range s.Decide(testNow.Add(20 * time.Millisecond)) {
+		if a, ok := d.(Ask); ok {
+			got = append(got, a.Step)
+		}
+	}
+	want := []string{"0000000000000014.0.0", "0000000000000015.0.0", "0000000000000016.0.0", "0000000000000000.0.0"}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("steps asked about (-want +got):\n%s", diff)
+	}
+}
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -100,11 +100,7 @@
 		w.keptFor = nil
 	}
 	kept := 0
-	s.lower = s.lowerRoom()
 	for _, st := range s.waiting {
-		if !s.mayTake(st) {
-			continue
-		}
 		if st.spec.Gang {
 			if !s.placeGang(st) && st.rank.class == classInTime && kept < keepMost && s.now.Sub(st.since) >= keepAfter {
 				if s.keepRoom(st) {
@@ -117,19 +113,6 @@
 	}
 }
 
-// mayTake reports whether the headroom for urgent jobs leaves room for a step: for
-// a whole gang, or for one task.
-func (s *State) mayTake(st *step) bool {
-	if st.job.queue.Priority == urgentPriority || st.job.doc.Lasting() {
-		return true
-	}
-	need := st.size.CPUMilli()
-	if st.spec.Gang {
-		need *= int64(st.left)
-	}
-	return need <= s.lower
-}
-
 // usable reports whether new tasks of a step may start on a worker at all.
 func (s *State) usable(w *worker, st *step) bool {
 	switch {
@@ -229,7 +212,7 @@
 		if t.avoid == fits[at].w && len(fits) > at+1 {
 			fits[at], fits[at+1] = fits[at+1], fits[at]
 		}
-		if !tm.fitsLimit(st.spec.Declared()) || !s.mayTake(st) {
+		if !tm.fitsLimit(st.spec.Declared()) {
 			return
 		}
 		s.start(t, fits[at].w, t.attempt+1)
@@ -346,9 +329,6 @@
 
 func (s *State) start(t *task, w *worker, attempt int) {
 	r := s.newRun(t, w, attempt)
-	if t.step.job.queue.Priority != urgentPriority {
-		s.lower -= r.size.CPUMilli()
-	}
 	s.record(events.Start(t.id(), attempt, w.spec.ID, w.spec.BornUnixMS))
 	s.emit(Start{
 		Task: t.id(), Attempt: attempt, Worker: w.spec.ID, Addr: w.spec.Addr, Spec: t.step.job.doc.Spec,
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -27,7 +27,6 @@
 	s.setQueue(j)
 	s.jobs[doc.ID] = j
 	j.over = !s.withinRate(s.team(doc.Team))
-	s.noteUrgent(j)
 	if s.cancelled[doc.ID] {
 		delete(s.cancelled, doc.ID)
 		s.Cancel(doc.ID)
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -231,9 +231,6 @@
 	wallOffset clock.Mono
 
 	learned learner
-	urgent  headroom
-	// lower is what work that is not urgent may still take in this round.
-	lower int64
 
 	events    []events.Event
 	decisions []Decision
