--- a/entry/engine/contact.go
+++ b/entry/engine/contact.go
@@ -269,3 +269,24 @@
 		})
 	}()
 }
+
+// pace sends an order for a filler's pace. One that is lost is made up for by the
+// next report.
+func (e *Engine) pace(t *term, d sched.Pace) {
+	c := t.workers[d.Worker]
+	if c == nil {
+		return
+	}
+	if _, ok := e.cfg.Keeper.Authority(); !ok {
+		return
+	}
+	order := PaceOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Percent: d.Percent, Token: t.Token()}
+	e.log.Info("pace", zap.String("task", order.Task), zap.Int("attempt", d.Attempt), zap.String("worker", d.Worker), zap.Int("percent", d.Percent))
+	go func() {
+		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
+		defer cancel()
+		if err := e.cfg.Workers.Pace(ctx, order); err != nil {
+			e.log.Warn("pace not set", append(logs.Err(err), zap.String("task", order.Task), zap.String("worker", order.Instance))...)
+		}
+	}()
+}
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -357,6 +357,7 @@
 		case sched.Ask:
 			e.ask(t, d)
 		case sched.Pace:
+			e.pace(t, d)
 		}
 	}
 	return starts
--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -50,6 +50,8 @@
 
 func (w *fakeWorker) Stop(context.Context, StopOrder) error { return nil }
 
+func (w *fakeWorker) Pace(context.Context, PaceOrder) error { return nil }
+
 func (w *fakeWorker) Look(ctx context.Context, o LookOrder) (LookReply, error) {
 	select {
 	case w.looked <- o:
--- a/entry/engine/ports.go
+++ b/entry/engine/ports.go
@@ -29,6 +29,15 @@
 	Token          int64
 }
 
+// PaceOrder has a worker run a task at a share of its speed.
+type PaceOrder struct {
+	Addr, Instance string
+	Task           string
+	Attempt        int
+	Percent        int
+	Token          int64
+}
+
 // LookOrder reads what a worker runs and what ended there, acknowledges ends and
 // extends the lease of all that runs.
 type LookOrder struct {
@@ -55,6 +64,7 @@
 type Workers interface {
 	Start(ctx context.Context, o StartOrder) (sched.Outcome, error)
 	Stop(ctx context.Context, o StopOrder) error
+	Pace(ctx context.Context, o PaceOrder) error
 	Look(ctx context.Context, o LookOrder) (LookReply, error)
 }
 
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -171,7 +171,7 @@
 func (s *State) fitsOf(st *step, n int, allow func(*worker) bool) []fit {
 	out := s.scratch.fits[:0]
 	for _, w := range s.sorted {
-		if !s.usable(w, st) || !allow(w) {
+		if !s.usable(w, st) || !allow(w) || st.spec.Filler && !w.takesFillers() {
 			continue
 		}
 		room := s.roomFor(w, st, n)
@@ -179,6 +179,9 @@
 			continue
 		}
 		cost := float64(w.free().CPUMilli())
+		if st.spec.Filler {
+			cost = w.fillerCost()
+		}
 		if st.spec.DataRack != "" && !slices.Contains(w.spec.Labels, st.spec.DataRack) {
 			cost += rackPenalty
 		}
--- a/entry/sched/replay.go
+++ b/entry/sched/replay.go
@@ -61,7 +61,7 @@
 		w = s.addWorker(WorkerSpec{ID: e.Worker, BornUnixMS: e.Born})
 	}
 	r := s.newRun(t, w, e.Attempt)
-	r.recovered = true
+	r.recovered, r.pace = true, paceUnknown
 }
 
 func (s *State) replayEnd(t *task, e events.Event) {
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -117,6 +117,11 @@
 	recovered   bool       // known from the journal only
 	listedBorn  int64      // the incarnation that listed it; 0 is none
 
+	// pace is the share of its speed that a filler was given, pacedAt when.
+	pace        int
+	pacedAt     clock.Mono
+	restingFrom clock.Mono
+
 	percent int
 	movedAt clock.Mono
 	tail    int64
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -168,6 +168,7 @@
 		}
 	}
 	s.compare(w, r)
+	s.paceFillers(w)
 	w.fresh = true
 	s.forgetWorker(w)
 	return w.seen
@@ -508,7 +509,7 @@
 // newRun charges a run to its worker and team.
 func (s *State) newRun(t *task, w *worker, attempt int) *run {
 	st := t.step
-	r := &run{task: t, attempt: attempt, worker: w, size: st.size, charged: st.spec.Declared(), movedAt: s.now}
+	r := &run{task: t, attempt: attempt, worker: w, size: st.size, charged: st.spec.Declared(), movedAt: s.now, pace: paceFull}
 	r.startBy = s.now.Add(s.cfg.StartWithin)
 	t.attempt = attempt
 	st.attempt = max(st.attempt, attempt)
