--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -306,6 +306,9 @@
 func (d *Desk) Delay() time.Duration {
 	w := d.welcome.Load()
 	if w == nil {
+		if d.cfg.CPUMilli < weakMilli {
+			return candidateDelay
+		}
 		return 0
 	}
 	if i := slices.Index(w.Members, d.cfg.Self.Addr); i >= firstCandidates {
@@ -317,6 +320,9 @@
 const (
 	firstCandidates = 6
 	candidateDelay  = 500 * time.Millisecond
+	// weakMilli is the processor share under which a VM that knows of no others yet
+	// takes them to be stronger.
+	weakMilli = 300
 )
 
 // exists reports whether a job is stored.
--- a/entry/engine/contact.go
+++ b/entry/engine/contact.go
@@ -254,6 +254,8 @@
 	if _, ok := e.cfg.Keeper.Authority(); !ok {
 		return
 	}
+	e.log.Info("stop", zap.String("task", d.Task.String()), zap.Int("attempt", d.Attempt), zap.String("worker", d.Worker),
+		zap.String("reason", string(d.Reason)))
 	order := StopOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Token: t.Token()}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -230,6 +230,7 @@
 	e.lookIdle()
 	e.fold(e.term)
 	e.logLoad(e.term)
+	e.resign(e.term)
 }
 
 // loadEvery is the time between two lines about the load.
@@ -489,19 +490,33 @@
 	return float64(cpuMilli) >= strongShare*float64(most)
 }
 
-// offers reports whether the VM that greets is asked to take over: because the
-// store answers it and not the owner, or because it has far more processor.
+// offers reports whether the VM that greets is asked to take over, because the store
+// answers it and not the owner.
 func (e *Engine) offers(t *term, g Greeting) bool {
 	now := e.clk.Now()
 	if g.From.Name == e.cfg.Self.Name || g.StoreAge >= yieldFresh || now.Sub(t.offeredAt) < offerAgain {
 		return false
 	}
-	overdue := e.cfg.StoreAge() > yieldAfter && e.cfg.Keeper.Overdue(yieldAfter) && (e.strong(g.CPUMilli) || e.cfg.Keeper.Overdue(yieldAny))
-	stronger := float64(g.CPUMilli) >= strongerBy*float64(e.cfg.CPUMilli) && now.Sub(t.begunAt) > settledAfter
-	if !overdue && !stronger {
+	if e.cfg.StoreAge() <= yieldAfter || !e.cfg.Keeper.Overdue(yieldAfter) ||
+		!e.strong(g.CPUMilli) && !e.cfg.Keeper.Overdue(yieldAny) {
 		return false
 	}
 	t.offeredAt = now
-	e.log.Warn("ownership offered", zap.String("vm", g.From.Name), zap.Bool("store_overdue", overdue), zap.Bool("stronger", stronger))
+	e.log.Warn("ownership offered", zap.String("vm", g.From.Name), zap.Int64("store_age_ms", e.cfg.StoreAge().Milliseconds()))
 	return true
 }
+
+// resign gives ownership up when another VM has far more processor. The offer to
+// one VM would not do: a VM that does not keep up answers too late for it.
+func (e *Engine) resign(t *term) {
+	if e.clk.Now().Sub(t.begunAt) < settledAfter {
+		return
+	}
+	for _, m := range e.members {
+		if float64(m.cpuMilli) >= strongerBy*float64(e.cfg.CPUMilli) && e.clk.Now().Sub(m.heard) < memberFor {
+			e.log.Info("ownership left to a VM with more processor", zap.String("vm", m.Name), zap.Int64("cpu_milli", m.cpuMilli))
+			e.cfg.Keeper.Resign()
+			return
+		}
+	}
+}
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -65,6 +65,8 @@
 	// that passes it, up to slowTimeout, since a slow store changes no owner.
 	callTimeout = 400 * time.Millisecond
 	slowTimeout = 1200 * time.Millisecond
+	// resignFor is how long a VM that resigned leaves the record to others.
+	resignFor = 3 * time.Second
 	// releaseTries bounds the writes that give the record back.
 	releaseTries = 3
 )
@@ -151,6 +153,9 @@
 	wake     chan struct{}
 	// release has Run give the record back, which closes gaveBack.
 	release, gaveBack chan struct{}
+	gaveBackOnce      sync.Once
+	// backAt is from when on a VM that resigned takes the record again.
+	backAt clock.Mono
 }
 
 // New returns a keeper that does nothing before Run.
@@ -314,14 +319,15 @@
 	k.mu.Lock()
 	now := k.clk.Now()
 	holder, unchanged := k.rec.Holder, now.Sub(k.seenAt)
-	able := !k.released && !k.owner && k.contact != 0 && now.Sub(k.contact) <= contactGap
-	free := k.rev == 0 || k.rec.Released || k.offeredBy != "" && k.offeredBy == holder.Addr
+	able := !k.released && !k.owner && now >= k.backAt && k.contact != 0 && now.Sub(k.contact) <= contactGap
+	free := k.rev == 0 || k.rec.Released
+	offered := k.offeredBy != "" && k.offeredBy == holder.Addr
 	k.offeredBy = ""
 	k.mu.Unlock()
 	switch {
 	case !able:
 		return false
-	case free, unchanged >= TakeAfter+k.delay():
+	case offered, free && unchanged >= k.delay(), unchanged >= TakeAfter+k.delay():
 		return true
 	case holder.VM == k.cfg.Self.VM:
 		// An earlier process of this VM, or a takeover whose reply was lost.
@@ -429,10 +435,7 @@
 	if !owner {
 		return
 	}
-	select {
-	case k.release <- struct{}{}:
-	default:
-	}
+	k.askRelease()
 	select {
 	case <-k.gaveBack:
 	case <-ctx.Done():
@@ -440,9 +443,30 @@
 	}
 }
 
+func (k *Keeper) askRelease() {
+	select {
+	case k.release <- struct{}{}:
+	default:
+	}
+}
+
+// Resign gives the record back for VMs that are better placed to take it. This VM
+// takes it again only when nobody did.
+func (k *Keeper) Resign() {
+	k.mu.Lock()
+	owner := k.owner
+	k.owner = false
+	k.backAt = k.clk.Now().Add(resignFor)
+	k.mu.Unlock()
+	if owner {
+		k.signal()
+		k.askRelease()
+	}
+}
+
 // giveBack writes the record as released, for as long as nobody else changed it.
 func (k *Keeper) giveBack(ctx context.Context) {
-	defer close(k.gaveBack)
+	defer k.gaveBackOnce.Do(func() { close(k.gaveBack) })
 	k.patience = slowTimeout
 	for range releaseTries {
 		k.mu.Lock()
--- a/entry/lead/lead_test.go
+++ b/entry/lead/lead_test.go
@@ -133,6 +133,16 @@
 			p.k[1].Offered(p.names[0])
 			p.run(100*time.Millisecond, 0, 1)
 		}, want: []int{1}},
+		"resigned, left to others": {do: func(p *pair) {
+			p.k[0].Resign()
+			p.k[0].giveBack(context.Background())
+			p.run(time.Second, 0, 1)
+		}, want: []int{1}},
+		"resigned, nobody else there": {do: func(p *pair) {
+			p.k[0].Resign()
+			p.k[0].giveBack(context.Background())
+			p.run(resignFor+time.Second, 0)
+		}, want: []int{0}},
 		"offered by one who is not the owner": {do: func(p *pair) {
 			p.k[1].Offered(Holder{VM: "vm9", Name: "vm9-a", Addr: "a9"})
 			p.run(500*time.Millisecond, 0, 1)
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -360,7 +360,7 @@
 			}
 			w.suspectUntil = s.now.Add(suspectFor)
 			r.task.avoid = w
-			s.stop(r)
+			s.stop(r, ReasonStalled)
 		}
 	}
 }
--- a/entry/sched/decision.go
+++ b/entry/sched/decision.go
@@ -17,11 +17,26 @@
 	Ticket  string
 }
 
+// Reason says why a run is stopped.
+type Reason string
+
+// Reasons for a stop.
+const (
+	ReasonEnded    Reason = "job or task ended"
+	ReasonUnknown  Reason = "outcome of its start unknown"
+	ReasonStalled  Reason = "no progress"
+	ReasonBroken   Reason = "a member of the gang ended"
+	ReasonStray    Reason = "not expected there"
+	ReasonResting  Reason = "rested too long"
+	ReasonRepeated Reason = "not ended after an earlier stop"
+)
+
 // Stop has a worker stop a run, or refuse it when it arrives later.
 type Stop struct {
 	Task    graph.TaskID
 	Attempt int
 	Worker  string
+	Reason  Reason
 }
 
 // Ask has the advising service asked, from the VM reserved for the call, which of
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -167,7 +167,7 @@
 	for _, steps := range j.runs {
 		for _, st := range steps {
 			for _, r := range st.liveRuns.copy() {
-				s.stop(r)
+				s.stop(r, ReasonEnded)
 			}
 		}
 	}
--- a/entry/sched/pace.go
+++ b/entry/sched/pace.go
@@ -76,7 +76,7 @@
 	}
 	if r.restingFrom != 0 && s.now.Sub(r.restingFrom) >= restMost {
 		r.task.avoid = r.worker
-		s.stop(r)
+		s.stop(r, ReasonResting)
 		return
 	}
 	if next == r.pace || s.now.Sub(r.pacedAt) < paceEvery && next >= r.pace {
--- a/entry/sched/replay.go
+++ b/entry/sched/replay.go
@@ -102,7 +102,7 @@
 		w.lapse = now.Add(s.cfg.RecoveredLapse)
 		for _, r := range w.runs.copy() {
 			if r.task.step.broken || r.task.step.job.final() {
-				s.stop(r)
+				s.stop(r, ReasonBroken)
 			}
 		}
 	}
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -229,7 +229,7 @@
 		t.attempt = max(t.attempt, item.Attempt)
 		t.step.attempt = max(t.step.attempt, item.Attempt)
 	}
-	s.emit(Stop{Task: item.Task, Attempt: item.Attempt, Worker: w.spec.ID})
+	s.emit(Stop{Task: item.Task, Attempt: item.Attempt, Worker: w.spec.ID, Reason: ReasonStray})
 }
 
 func (s *State) progress(r *run, item Running) {
@@ -246,7 +246,7 @@
 		s.saved(r, item.Saved)
 	}
 	if r.task.done || r.task.step.job.final() {
-		s.stop(r)
+		s.stop(r, ReasonEnded)
 	}
 }
 
@@ -323,7 +323,7 @@
 	s.doneTask(t)
 	for _, r := range st.liveRuns.copy() {
 		if r.task == t {
-			s.stop(r)
+			s.stop(r, ReasonEnded)
 		}
 	}
 }
@@ -363,7 +363,7 @@
 	st.broken = true
 	if len(st.liveRuns) > 0 {
 		for _, m := range st.liveRuns.copy() {
-			s.stop(m)
+			s.stop(m, ReasonBroken)
 		}
 		return
 	}
@@ -372,12 +372,12 @@
 }
 
 // stop has a run stopped; it keeps its room until its end is listed.
-func (s *State) stop(r *run) {
+func (s *State) stop(r *run, why Reason) {
 	if r.stopping {
 		return
 	}
 	r.stopping, r.stopAt = true, s.now
-	s.emit(Stop{Task: r.task.id(), Attempt: r.attempt, Worker: r.worker.spec.ID})
+	s.emit(Stop{Task: r.task.id(), Attempt: r.attempt, Worker: r.worker.spec.ID, Reason: why})
 }
 
 func (s *State) emit(d Decision) {
@@ -398,7 +398,7 @@
 		for _, r := range w.runs.copy() {
 			if r.stopping && s.now.Sub(r.stopAt) >= stopAgain {
 				r.stopAt = s.now
-				s.emit(Stop{Task: r.task.id(), Attempt: r.attempt, Worker: w.spec.ID})
+				s.emit(Stop{Task: r.task.id(), Attempt: r.attempt, Worker: w.spec.ID, Reason: ReasonRepeated})
 			}
 		}
 	}
@@ -440,11 +440,11 @@
 			r.confirmed, r.confirmedAt, r.movedAt = true, s.now, s.now
 		}
 		if r.task.done || r.task.step.job.final() {
-			s.stop(r)
+			s.stop(r, ReasonEnded)
 		}
 		return
 	case OutcomeUnknown:
-		s.stop(r)
+		s.stop(r, ReasonUnknown)
 		return
 	case OutcomeNoTicket:
 		delete(r.task.step.adv.tickets, workerID)
