--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -355,7 +355,8 @@
 			if !r.confirmed || r.stopping || st.spec.Service || st.spec.Filler || r.percent >= complete {
 				continue
 			}
-			if s.now.Sub(r.movedAt) < stalledAfter+time.Duration(st.spec.EstimateMS)*time.Millisecond/10 {
+			// Only lists show that a run stands still: a worker behind a cut goes on.
+			if r.listedAt.Sub(r.movedAt) < stalledAfter+time.Duration(st.spec.EstimateMS)*time.Millisecond/10 {
 				continue
 			}
 			w.suspectUntil = s.now.Add(suspectFor)
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -173,3 +173,53 @@
 		})
 	}
 }
+
+// TestStalled guards against stopping sound work on a worker that was only cut off
+// for a while, and against leaving a task on a worker where it stands still.
+func TestStalled(t *testing.T) {
+	t.Parallel()
+	type report struct {
+		afterMS int64
+		percent int
+	}
+	tests := map[string]struct {
+		reports []report
+		stops   int
+	}{
+		"moves":                 {reports: []report{{1000, 10}, {2000, 20}, {3000, 30}, {4000, 40}, {5000, 50}}},
+		"stands still":          {reports: []report{{1000, 10}, {2000, 10}, {3000, 10}, {4000, 10}, {5000, 10}}, stops: 1},
+		"cut off and went on":   {reports: []report{{500, 10}, {6500, 80}}},
+		"complete, end to come": {reports: []report{{1000, 100}, {2000, 100}, {3000, 100}, {4000, 100}, {5000, 100}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 1000}))
+			stops := 0
+			at := 0
+			for ms := int64(0); ms < 7000; ms += 100 {
+				now := testNow.Add(time.Duration(ms) * time.Millisecond)
+				s.SetNow(now, 10_000+ms)
+				if at < len(tt.reports) && tt.reports[at].afterMS == ms {
+					s.Observe(Report{Worker: "w0", BornUnixMS: 1, SentAt: now, Running: []Running{{Task: taskID(0, 0), Attempt: 1, Percent: tt.reports[at].percent}}})
+					at++
+				}
+				for _, d := range s.Decide(now) {
+					switch d := d.(type) {
+					case Start:
+						s.Started(d.Task, d.Attempt, d.Worker, OutcomeStarted)
+					case Stop:
+						if d.Reason == ReasonStalled {
+							stops++
+						}
+					case Ask, Pace:
+					}
+				}
+			}
+			if diff := cmp.Diff(tt.stops, stops); diff != "" {
+				t.Errorf("stops of a run without progress (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -123,8 +123,9 @@
 	restingFrom clock.Mono
 
 	percent int
-	movedAt clock.Mono
-	tail    int64
+	// movedAt is when its progress last changed, listedAt when it was last listed.
+	movedAt, listedAt clock.Mono
+	tail              int64
 }
 
 // runSet is a small set of runs in the order in which they were added.
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -238,7 +238,7 @@
 		r.movedAt = s.now
 	}
 	r.recovered, r.listedBorn = false, r.worker.spec.BornUnixMS
-	r.tail = item.Load
+	r.tail, r.listedAt = item.Load, s.now
 	if item.Percent != r.percent {
 		r.percent, r.movedAt = item.Percent, s.now
 	}
