--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -473,7 +473,7 @@
 }
 
 // helloEvery is the time between two words to the owner.
-const helloEvery = 500 * time.Millisecond
+const helloEvery = 300 * time.Millisecond
 
 // Run tells the owner that this VM is there, until ctx ends.
 func (d *Desk) Run(ctx context.Context) error {
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -448,7 +448,7 @@
 	// yieldAfter is how long the store has answered the owner nothing when the owner
 	// looks for a VM that reaches the store, yieldFresh how recently the store
 	// answered that VM.
-	yieldAfter = 800 * time.Millisecond
+	yieldAfter = 600 * time.Millisecond
 	yieldFresh = 500 * time.Millisecond
 	// offerAgain is how long the VM that ownership was offered to has time to take it.
 	offerAgain = 800 * time.Millisecond
