--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -14,8 +14,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -140,21 +138,6 @@
 		zap.Int64("store_age_ms", d.cfg.StoreAge().Milliseconds()))
 }
 
-const (
-	storeTimeout = 700 * time.Millisecond
-	retryPause   = 50 * time.Millisecond
-	// avoidFor is how long after a failure this VM's own way to the store is not
-	// tried first.
-	avoidFor = 400 * time.Millisecond
-	// uncertainFor is how long a write that may have taken effect is tried again.
-	uncertainFor = time.Second
-	// existsTries bounds the reads that tell whether a job is stored.
-	existsTries = 2
-	// createTries bounds the VMs that are asked to write for this one.
-	createTries = 2
-	peerTimeout = 600 * time.Millisecond
-)
-
 // Submit accepts a job. build makes the job for the id in the call's path.
 func (d *Desk) Submit(ctx context.Context, c Call, build func(id string) (*graph.Job, error)) (code rcode.Code) {
 	began := d.clk.Now()
@@ -187,176 +170,6 @@
 	return code
 }
 
-// create stores a key unless it exists already: over this VM's own way to the
-// store, or by another VM when the store does not answer this one. When nothing can
-// have been written it does not wait for the store to come back: the caller is told
-// at once, and may go elsewhere. When a write may have taken effect it tries for
-// uncertainFor to find out, since "not accepted" would be untrue; an outcome that
-// stays unknown is answered with the code given.
-func (d *Desk) create(ctx context.Context, key string, raw []byte, unknown rcode.Code) rcode.Code {
-	maybe := false
-	end := d.clk.Now().Add(uncertainFor)
-	for {
-		code := d.createAnywhere(ctx, key, raw)
-		maybe = maybe || code == rcode.OutcomeUnknown
-		switch {
-		case code == rcode.OK:
-			return rcode.OK
-		case !maybe:
-			return rcode.StoreUnavailable
-		case ctx.Err() != nil || d.clk.Now() >= end:
-			return unknown
-		}
-		select {
-		case <-d.clk.After(retryPause):
-		case <-ctx.Done():
-		}
-	}
-}
-
-// createAnywhere tries each way to the store once.
-func (d *Desk) createAnywhere(ctx context.Context, key string, raw []byte) rcode.Code {
-	worst := rcode.StoreUnavailable
-	if !d.avoiding() {
-		switch d.Create(ctx, key, raw) {
-		case rcode.OK:
-			return rcode.OK
-		case rcode.OutcomeUnknown:
-			worst = rcode.OutcomeUnknown
-		default:
-		}
-	}
-	for _, addr := range d.others() {
-		call, cancel := context.WithTimeout(ctx, peerTimeout)
-		code := d.cfg.Remote.Create(call, addr, key, raw)
-		cancel()
-		switch code {
-		case rcode.OK:
-			return rcode.OK
-		case rcode.OutcomeUnknown:
-			worst = rcode.OutcomeUnknown
-		default:
-		}
-	}
-	return worst
-}
-
-// Create stores a key unless it exists already, over this VM's own way to the
-// store. It returns rcode.OutcomeUnknown when the write may still take effect.
-func (d *Desk) Create(ctx context.Context, key string, raw []byte) rcode.Code {
-	call, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	_, err := d.cfg.Store.Commit(call, store.NewTxn().If(key, 0).Put(key, raw))
-	switch {
-	case err == nil:
-		d.answered.Store(int64(d.clk.Now()))
-		return rcode.OK
-	case rcode.Of(err) == rcode.StoreUnavailable:
-		d.failed.Store(int64(d.clk.Now()))
-		return rcode.StoreUnavailable
-	default:
-		d.failed.Store(int64(d.clk.Now()))
-		return rcode.OutcomeUnknown
-	}
-}
-
-// avoiding reports whether the store did not answer this VM a moment ago.
-func (d *Desk) avoiding() bool {
-	failed := d.failed.Load()
-	return failed > d.answered.Load() && d.clk.Now().Sub(clock.Mono(failed)) < avoidFor
-}
-
-// others returns addresses of VMs that may reach the store, the owner first.
-func (d *Desk) others() []string {
-	owner, _ := d.cfg.Keeper.Owner()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	out := make([]string, 0, createTries)
-	for _, a := range []string{d.hint.Addr, owner.Addr} {
-		if a != "" && a != d.cfg.Self.Addr && !slices.Contains(out, a) {
-			out = append(out, a)
-		}
-	}
-	for _, i := range rand.Perm(len(d.known)) {
-		if a := d.known[i]; a != d.cfg.Self.Addr && !slices.Contains(out, a) {
-			out = append(out, a)
-		}
-	}
-	return out[:min(len(out), createTries)]
-}
-
-// knownMost bounds the addresses kept of VMs that may be gone.
-const knownMost = 64
-
-// Learn keeps the addresses of other VMs.
-func (d *Desk) Learn(addrs []string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, a := range addrs {
-		if i := slices.Index(d.known, a); i >= 0 {
-			d.known = slices.Delete(d.known, i, i+1)
-		}
-		d.known = append(d.known, a)
-	}
-	d.known = slices.Delete(d.known, 0, max(0, len(d.known)-knownMost))
-}
-
-// Delay returns how long this VM lets VMs with more processor go first when the
-// owner is lost.
-func (d *Desk) Delay() time.Duration {
-	w := d.welcome.Load()
-	if w == nil {
-		if d.cfg.CPUMilli < weakMilli {
-			return candidateDelay
-		}
-		return 0
-	}
-	if i := slices.Index(w.Members, d.cfg.Self.Addr); i >= firstCandidates {
-		return candidateDelay
-	}
-	return 0
-}
-
-const (
-	firstCandidates = 6
-	candidateDelay  = 500 * time.Millisecond
-	// weakMilli is the processor share under which a VM that knows of no others yet
-	// takes them to be stronger.
-	weakMilli = 300
-)
-
-// exists reports whether a job is stored.
-func (d *Desk) exists(ctx context.Context, id string) (bool, rcode.Code) {
-	for range existsTries {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := d.cfg.Store.Get(call, engine.JobPrefix+id)
-		cancel()
-		switch {
-		case err == nil:
-			return true, rcode.OK
-		case rcode.Of(err) == rcode.NotFound:
-			return false, rcode.OK
-		}
-		select {
-		case <-d.clk.After(retryPause):
-		case <-ctx.Done():
-			return false, rcode.StoreUnavailable
-		}
-	}
-	return false, rcode.StoreUnavailable
-}
-
-// knows reports whether there is a job, by the owner's word or by the store's.
-func (d *Desk) knows(ctx context.Context, id string) (bool, rcode.Code) {
-	call, cancel := context.WithTimeout(ctx, ownerPatience)
-	a, err := d.askOwner(call, id)
-	cancel()
-	if err == nil && a.Known {
-		return true, rcode.OK
-	}
-	return d.exists(ctx, id)
-}
-
 // Cancel cancels a job. A job that is complete stays so.
 func (d *Desk) Cancel(ctx context.Context, c Call) (code rcode.Code) {
 	began := d.clk.Now()
@@ -381,9 +194,6 @@
 	return code
 }
 
-// ownerPatience is how long one call to the owner may take.
-const ownerPatience = 400 * time.Millisecond
-
 // State returns a job's state.
 func (d *Desk) State(ctx context.Context, c Call) (state sched.JobState, code rcode.Code) {
 	began := d.clk.Now()
@@ -413,46 +223,6 @@
 	}
 }
 
-// askOwner asks the owner, wherever it is now.
-func (d *Desk) askOwner(ctx context.Context, id string) (engine.Answer, error) {
-	err := error(rcode.New(rcode.NoOwner, "no owner is known"))
-	for ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, ownerPatience)
-		var a engine.Answer
-		if _, self := d.cfg.Keeper.Authority(); self {
-			a, err = d.cfg.Local.Job(call, id)
-		} else if owner, ok := d.owner(); ok {
-			a, err = d.cfg.Remote.Job(call, owner.Addr, id)
-		}
-		cancel()
-		if err == nil {
-			return a, nil
-		}
-		select {
-		case <-d.clk.After(retryPause):
-		case <-ctx.Done():
-		}
-	}
-	return engine.Answer{}, err
-}
-
-// hintAfter is how long the store has not answered this VM when another VM's word
-// on the owner counts more than the record read last.
-const hintAfter = time.Second
-
-// owner returns the VM to ask: the owner by the record, or by another VM's word
-// while this VM does not see the record change.
-func (d *Desk) owner() (lead.Holder, bool) {
-	d.mu.Lock()
-	hint := d.hint
-	d.mu.Unlock()
-	if hint.Addr != "" && hint.Addr != d.cfg.Self.Addr && d.cfg.StoreAge() > hintAfter {
-		return hint, true
-	}
-	h, ok := d.cfg.Keeper.Owner()
-	return h, ok && h.Addr != d.cfg.Self.Addr
-}
-
 // waitingFor is how old the owner's word on waiting jobs may be.
 const waitingFor = 2 * time.Second
 
@@ -471,79 +241,3 @@
 	}
 	return w.Waiting[q.Name], rcode.OK
 }
-
-// helloEvery is the time between two words to the owner.
-const helloEvery = 300 * time.Millisecond
-
-// Run tells the owner that this VM is there, until ctx ends.
-func (d *Desk) Run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		d.hello(ctx)
-		select {
-		case <-d.clk.After(helloEvery):
-		case <-ctx.Done():
-		}
-	}
-	return ctx.Err()
-}
-
-func (d *Desk) hello(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, ownerPatience)
-	defer cancel()
-	sent := d.clk.Now()
-	g := engine.Greeting{From: d.cfg.Self, StoreAge: d.cfg.StoreAge(), CPUMilli: d.cfg.CPUMilli}
-	var w engine.Welcome
-	var err error
-	owner, known := d.owner()
-	switch _, self := d.cfg.Keeper.Authority(); {
-	case self:
-		d.setHint(lead.Holder{})
-		w, err = d.cfg.Local.Hello(ctx, g)
-	case known:
-		w, err = d.cfg.Remote.Hello(ctx, owner.Addr, g)
-	default:
-		err = rcode.New(rcode.NoOwner, "no owner is known")
-	}
-	if err != nil {
-		d.seek(w.Owner, g)
-		return
-	}
-	d.welcome.Store(&welcome{Welcome: w, at: sent})
-	d.Learn(w.Members)
-	if w.Yield {
-		d.cfg.Keeper.Offered(owner)
-	}
-}
-
-func (d *Desk) setHint(h lead.Holder) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if h.Addr != d.hint.Addr && h.Addr != "" {
-		d.log.Info("owner known by another VM's word", zap.String("owner", h.Name), zap.String("addr", h.Addr))
-	}
-	d.hint = h
-}
-
-// seek asks another VM who the owner is, after the one known here did not answer
-// as the owner. told is its own word on that.
-func (d *Desk) seek(told lead.Holder, g engine.Greeting) {
-	d.setHint(lead.Holder{})
-	if told.Addr != "" && told.Addr != d.cfg.Self.Addr {
-		d.setHint(told)
-		return
-	}
-	others := d.others()
-	if len(others) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), ownerPatience)
-	defer cancel()
-	addr := others[len(others)-1]
-	w, err := d.cfg.Remote.Hello(ctx, addr, g)
-	switch {
-	case err == nil:
-		d.setHint(lead.Holder{Addr: addr})
-	case w.Owner.Addr != "":
-		d.setHint(w.Owner)
-	}
-}
--- /dev/null
+++ b/entry/engine/hello.go
@@ -0,0 +1,121 @@
+package engine
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/lead"
+)
+
+// Greeting is a VM's word to the owner.
+type Greeting struct {
+	From lead.Holder
+	// StoreAge is how long ago the store answered the VM.
+	StoreAge time.Duration
+	// CPUMilli is its processor share in thousandths of a core.
+	CPUMilli int64
+}
+
+// Welcome is the owner's word to another VM.
+type Welcome struct {
+	// Owner is who decides, where the VM that answers does not.
+	Owner lead.Holder
+	// Waiting is, for each queue, how many jobs wait for their first start.
+	Waiting map[string]int
+	// Members are the addresses of all VMs that the owner heard of, those with the
+	// most processor first.
+	Members []string
+	// Yield asks the other VM to take over, since the store answers it and not the
+	// owner.
+	Yield bool
+}
+
+const (
+	// yieldAfter is how long the store has answered the owner nothing when the owner
+	// looks for a VM that reaches the store, yieldFresh how recently the store
+	// answered that VM.
+	yieldAfter = 600 * time.Millisecond
+	yieldFresh = 500 * time.Millisecond
+	// offerAgain is how long the VM that ownership was offered to has time to take it.
+	offerAgain = 800 * time.Millisecond
+)
+
+// Hello notes that another VM is there.
+func (e *Engine) Hello(ctx context.Context, g Greeting) (Welcome, error) {
+	var out Welcome
+	err := e.call(ctx, func(t *term) {
+		e.greet(g.From, g.CPUMilli)
+		out.Waiting = t.pendingNow(e.clk.Now())
+		for _, m := range e.byCPU() {
+			out.Members = append(out.Members, m.Addr)
+		}
+		out.Yield = e.offers(t, g)
+	})
+	return out, err
+}
+
+const (
+	// strongerBy is how much more processor a VM must have for ownership to move to
+	// it when nothing else calls for that.
+	strongerBy = 1.5
+	// strongShare is the part of the most processor of any VM that a strong one has.
+	strongShare = 0.75
+	// yieldAny is after how long an owner without the store offers ownership to a
+	// weak VM too.
+	yieldAny = 2500 * time.Millisecond
+	// settledAfter is how long a term has lasted by then.
+	settledAfter = 2 * time.Second
+)
+
+// strong reports whether a VM is among those with the most processor.
+func (e *Engine) strong(cpuMilli int64) bool {
+	most := e.cfg.CPUMilli
+	for _, m := range e.members {
+		most = max(most, m.cpuMilli)
+	}
+	return float64(cpuMilli) >= strongShare*float64(most)
+}
+
+// offers reports whether the VM that greets is asked to take over, because the store
+// answers it and not the owner.
+func (e *Engine) offers(t *term, g Greeting) bool {
+	now := e.clk.Now()
+	if g.From.Name == e.cfg.Self.Name || g.StoreAge >= yieldFresh || now.Sub(t.offeredAt) < offerAgain {
+		return false
+	}
+	if e.cfg.StoreAge() <= yieldAfter || !e.cfg.Keeper.Overdue(yieldAfter) ||
+		!e.strong(g.CPUMilli) && !e.cfg.Keeper.Overdue(yieldAny) {
+		return false
+	}
+	t.offeredAt = now
+	e.log.Warn("ownership offered", zap.String("vm", g.From.Name), zap.Int64("store_age_ms", e.cfg.StoreAge().Milliseconds()))
+	return true
+}
+
+// resign gives ownership up when another VM has far more processor. The offer to
+// one VM would not do: a VM that does not keep up answers too late for it.
+func (e *Engine) resign(t *term) {
+	if e.clk.Now().Sub(t.begunAt) < settledAfter {
+		return
+	}
+	for _, m := range e.members {
+		if float64(m.cpuMilli) >= strongerBy*float64(e.cfg.CPUMilli) && e.clk.Now().Sub(m.heard) < memberFor {
+			e.log.Info("ownership left to a VM with more processor", zap.String("vm", m.Name), zap.Int64("cpu_milli", m.cpuMilli))
+			e.cfg.Keeper.Resign()
+			return
+		}
+	}
+}
+
+// pendingFor is how long the number of jobs that wait is used again.
+const pendingFor = 300 * time.Millisecond
+
+func (t *term) pendingNow(now clock.Mono) map[string]int {
+	if t.pending == nil || now.Sub(t.pendingAt) > pendingFor {
+		t.pending, t.pendingAt = t.state.Pending(), now
+	}
+	return t.pending
+}
--- /dev/null
+++ b/entry/engine/round.go
@@ -0,0 +1,142 @@
+package engine
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"limpethitch.example/core/logs"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/sched"
+)
+
+// loadEvery is the time between two lines about the load.
+const loadEvery = time.Second
+
+func (e *Engine) logLoad(t *term) {
+	now := e.clk.Now()
+	if now.Sub(t.loadAt) < loadEvery {
+		return
+	}
+	t.loadAt = now
+	l := t.state.Load()
+	e.cfg.Metrics.Owner(true, l.Runs, l.Waiting)
+	e.log.Info("load", zap.Int64("epoch", t.Epoch()), zap.Int("waiting_0", l.Waiting[0]), zap.Int("waiting_1", l.Waiting[1]),
+		zap.Int("waiting_2", l.Waiting[2]), zap.Int("missed", l.Missed), zap.Int("asking", l.Asking), zap.Int("unasked", l.Unasked),
+		zap.Int("runs", l.Runs), zap.Int("workers", l.Workers), zap.Int64("used_cpu", l.UsedCPU), zap.Int64("cpu", l.CPU),
+		zap.Bool("writing", t.writing), zap.Int("members", len(e.members)))
+}
+
+// pump decides and hands the decisions out. It returns when to be called again.
+func (e *Engine) pump() (time.Duration, bool) {
+	t := e.term
+	if t == nil || !t.ready {
+		return 0, false
+	}
+	e.carryOut(t, t.state.TakeDecisions(), nil)
+	if t.writing || !t.dirty {
+		return 0, false
+	}
+	now := e.clk.Now()
+	if wait := t.decidedAt.Add(roundEvery).Sub(now); wait > 0 {
+		return wait, true
+	}
+	if _, ok := e.cfg.Keeper.Authority(); !ok {
+		return tickEvery, true
+	}
+	t.dirty = false
+	t.decidedAt = now
+	t.state.SetNow(now, e.clk.Wall().UnixMilli())
+	decisions := t.state.Decide(now)
+	list := t.state.TakeEvents()
+	starts := e.carryOut(t, decisions, nil)
+	e.finishRound(t, list, starts)
+	return 0, false
+}
+
+// finishRound stores a round's events and then sends its starts.
+func (e *Engine) finishRound(t *term, list []events.Event, starts []sched.Start) {
+	t.round++
+	round := t.round
+	for _, ev := range list {
+		e.cfg.Metrics.Event(ev.Kind.Name(), ev.How.Name())
+		e.log.Info("event", zap.String("kind", ev.Kind.Name()), zap.String("task", ev.Task), zap.Int("attempt", ev.Attempt),
+			zap.String("worker", ev.Worker), zap.String("how", ev.How.Name()), zap.Int64("epoch", t.Epoch()), zap.Int64("round", round))
+	}
+	e.noteFinished(t, round)
+	if len(list) == 0 {
+		e.storedRound(t, round, starts)
+		return
+	}
+	t.writing = true
+	go func() {
+		key, err := t.writer.Append(t.ctx, list)
+		e.post(func() {
+			t.writing = false
+			if err != nil {
+				// Nothing that follows from these events may happen, and no end that they
+				// record may be acknowledged: the term is over.
+				e.log.Warn("events not stored", logs.Err(err)...)
+				e.cfg.Keeper.Deposed(t.Epoch())
+				if e.term == t {
+					e.leave()
+				}
+				return
+			}
+			t.folder.add(key, list, t.state.Folded)
+			e.storedRound(t, round, starts)
+		})
+	}()
+}
+
+// noteFinished keeps the jobs whose last state the round stores.
+func (e *Engine) noteFinished(t *term, round int64) {
+	for _, f := range t.state.TakeFinished() {
+		t.unstored[f.ID] = round
+		e.cfg.Metrics.Job(f.Queue, f.Team, string(f.State), f.Took, f.FirstStart)
+		e.log.Info("job finished", zap.String("id", f.ID), zap.String("queue", f.Queue), zap.String("team", f.Team),
+			zap.String("state", string(f.State)), zap.Int64("took_ms", f.Took.Milliseconds()),
+			zap.Int64("objective_ms", f.Objective.Milliseconds()), zap.Int64("first_start_ms", f.FirstStart.Milliseconds()),
+			zap.Int64("epoch", t.Epoch()), zap.Int64("round", round))
+	}
+}
+
+func (e *Engine) storedRound(t *term, round int64, starts []sched.Start) {
+	if e.term != t {
+		return
+	}
+	t.stored = round
+	for id, r := range t.unstored {
+		if r <= round {
+			delete(t.unstored, id)
+		}
+	}
+	now := e.clk.Now()
+	_, ok := e.cfg.Keeper.Authority()
+	for _, st := range starts {
+		if !ok || now.Sub(t.decidedAt) > startWithin/2 {
+			t.state.Started(st.Task, st.Attempt, st.Worker, sched.OutcomeWithdrawn)
+			t.dirty = true
+			continue
+		}
+		e.start(t, st)
+	}
+	e.lookAcked(t)
+}
+
+// carryOut hands out the decisions that need nothing stored and returns the starts.
+func (e *Engine) carryOut(t *term, list []sched.Decision, starts []sched.Start) []sched.Start {
+	for _, d := range list {
+		switch d := d.(type) {
+		case sched.Start:
+			starts = append(starts, d)
+		case sched.Stop:
+			e.stop(t, d)
+		case sched.Ask:
+			e.ask(t, d)
+		case sched.Pace:
+			e.pace(t, d)
+		}
+	}
+	return starts
+}
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -7,28 +7,26 @@
 //	if term, ok := k.Authority(); ok { ... }
 //
 // The store holds one record, changed only by compare-and-swap on its revision.
-// The owner renews it every second. Another VM takes over when it has seen the
+// The owner renews it several times a second. Another VM takes over when it saw the
 // same revision for TakeAfter on its own clock while the store answered it all
 // the while; so an outage of the store for all changes no owner. It takes over
 // sooner when another incarnation answers at the owner's address, and when nothing
 // listens there and a renewal is overdue. Safety does not rest on these waits: the
 // token and the conditions on TermKey keep a former owner from acting. The owner's
 // authority ends AuthorityFor after it sent its last renewal that succeeded,
-// which is earlier than any other VM may act. Clocks here count the time that a
+// which is earlier than another VM takes over without such evidence. Clocks here
+// count the time that a
 // VM is suspended.
 package lead
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"limpethitch.example/core/clock"
-	"limpethitch.example/core/logs"
-	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 )
 
@@ -183,28 +181,6 @@
 	return owner && !recent
 }
 
-// Deposed takes in that a write of the term failed because another VM took over.
-func (k *Keeper) Deposed(epoch int64) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.owner && k.term.epoch == epoch {
-		k.owner, k.seenAt, k.contact = false, 0, 0
-		k.log.Warn("ownership lost", zap.Int64("epoch", epoch))
-		k.signal()
-	}
-}
-
-// Offered takes in that a holder asked this VM to take over from it.
-func (k *Keeper) Offered(by Holder) {
-	k.mu.Lock()
-	k.offeredBy = by.Addr
-	k.mu.Unlock()
-	select {
-	case k.wake <- struct{}{}:
-	default:
-	}
-}
-
 func (k *Keeper) within(d time.Duration) (Term, bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -258,60 +234,6 @@
 	return lookEvery
 }
 
-// get reads the record.
-func (k *Keeper) get(ctx context.Context) (store.KV, error) {
-	ctx, cancel := context.WithTimeout(ctx, k.patience)
-	defer cancel()
-	kv, err := k.cfg.Store.Get(ctx, Key)
-	k.adapt(ctx.Err() != nil)
-	return kv, err
-}
-
-// adapt sets how long the next call may take.
-func (k *Keeper) adapt(timedOut bool) {
-	if timedOut {
-		k.patience = min(2*k.patience, slowTimeout)
-		return
-	}
-	k.patience = callTimeout
-}
-
-// look reads the record.
-func (k *Keeper) look(ctx context.Context) {
-	sent := k.clk.Now()
-	kv, err := k.get(ctx)
-	if err != nil && rcode.Of(err) != rcode.NotFound {
-		return
-	}
-	var rec record
-	if err == nil {
-		if jerr := json.Unmarshal(kv.Value(), &rec); jerr != nil {
-			k.log.Error("owner record unreadable, treated as released", zap.Error(jerr))
-			rec = record{Released: true}
-		}
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.owner {
-		return
-	}
-	if k.contact == 0 || sent.Sub(k.contact) > contactGap || kv.ModRevision() != k.rev {
-		k.seenAt = k.clk.Now()
-	}
-	if rec.Holder != k.rec.Holder || rec.Epoch != k.rec.Epoch {
-		k.log.Info("owner seen", zap.String("owner", rec.Holder.Name), zap.Int64("epoch", rec.Epoch))
-		k.signal()
-	}
-	k.contact, k.rec, k.rev = k.clk.Now(), rec, kv.ModRevision()
-}
-
-func (k *Keeper) signal() {
-	select {
-	case k.changed <- struct{}{}:
-	default:
-	}
-}
-
 func (k *Keeper) mayTake(ctx context.Context) bool {
 	if k.cfg.Eligible != nil && !k.cfg.Eligible() {
 		return false
@@ -374,140 +296,3 @@
 	k.log.Info("ownership taken", zap.Int64("epoch", next.Epoch), zap.Int64("token", newRev))
 	k.signal()
 }
-
-// renew reports whether the renewal certainly succeeded.
-func (k *Keeper) renew(ctx context.Context) bool {
-	k.mu.Lock()
-	next := k.rec
-	next.Beat++
-	rev := k.rev
-	k.mu.Unlock()
-	sent := k.clk.Now()
-	newRev, ok := k.swap(ctx, rev, next, false)
-	if ok {
-		k.mu.Lock()
-		k.rec, k.rev, k.renewed = next, newRev, sent
-		k.mu.Unlock()
-		return true
-	}
-	k.verify(ctx, next, sent)
-	return false
-}
-
-// verify reads the record after a renewal that did not succeed: it may have
-// taken effect with its reply lost, or another VM may be the owner.
-func (k *Keeper) verify(ctx context.Context, sentRec record, sent clock.Mono) {
-	kv, err := k.get(ctx)
-	if err != nil && rcode.Of(err) != rcode.NotFound {
-		return
-	}
-	var rec record
-	if err == nil {
-		if jerr := json.Unmarshal(kv.Value(), &rec); jerr != nil {
-			k.log.Error("owner record unreadable", zap.Error(jerr))
-		}
-	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	switch {
-	case rec == sentRec:
-		k.rec, k.rev, k.renewed = rec, kv.ModRevision(), sent
-	case rec.Holder == k.cfg.Self && rec.Epoch == k.term.epoch && !rec.Released:
-		// An earlier renewal, or one of this term that arrived late.
-		k.rec, k.rev = rec, kv.ModRevision()
-	default:
-		k.owner, k.rec, k.rev = false, rec, kv.ModRevision()
-		k.seenAt, k.contact = k.clk.Now(), k.clk.Now()
-		k.log.Warn("ownership lost", zap.String("owner", rec.Holder.Name), zap.Int64("epoch", rec.Epoch))
-		k.signal()
-	}
-}
-
-// Release gives the record back, so that another VM may take it at once, and
-// returns when that is stored or ctx ends. This VM does not take it again. Run must
-// be under way.
-func (k *Keeper) Release(ctx context.Context) {
-	k.mu.Lock()
-	owner := k.owner
-	k.owner, k.released = false, true
-	k.mu.Unlock()
-	k.signal()
-	if !owner {
-		return
-	}
-	k.askRelease()
-	select {
-	case <-k.gaveBack:
-	case <-ctx.Done():
-		k.log.Warn("ownership not given back in time")
-	}
-}
-
-func (k *Keeper) askRelease() {
-	select {
-	case k.release <- struct{}{}:
-	default:
-	}
-}
-
-// Resign gives the record back for VMs that are better placed to take it. This VM
-// takes it again only when nobody did.
-func (k *Keeper) Resign() {
-	k.mu.Lock()
-	owner := k.owner
-	k.owner = false
-	k.backAt = k.clk.Now().Add(resignFor)
-	k.mu.Unlock()
-	if owner {
-		k.signal()
-		k.askRelease()
-	}
-}
-
-// giveBack writes the record as released, for as long as nobody else changed it.
-func (k *Keeper) giveBack(ctx context.Context) {
-	defer k.gaveBackOnce.Do(func() { close(k.gaveBack) })
-	k.patience = slowTimeout
-	for range releaseTries {
-		k.mu.Lock()
-		next, rev := k.rec, k.rev
-		k.mu.Unlock()
-		next.Released = true
-		if _, ok := k.swap(ctx, rev, next, false); ok {
-			k.log.Info("ownership given back", zap.Int64("epoch", next.Epoch))
-			return
-		}
-		kv, err := k.get(ctx)
-		if err != nil {
-			continue
-		}
-		var rec record
-		if json.Unmarshal(kv.Value(), &rec) != nil || rec.Holder != next.Holder || rec.Epoch != next.Epoch || rec.Released {
-			return
-		}
-		k.mu.Lock()
-		k.rec, k.rev = rec, kv.ModRevision()
-		k.mu.Unlock()
-	}
-}
-
-func (k *Keeper) swap(ctx context.Context, rev int64, next record, takeover bool) (int64, bool) {
-	raw, err := json.Marshal(next)
-	if err != nil {
-		k.log.Error("owner record not encoded", zap.Error(err))
-		return 0, false
-	}
-	txn := store.NewTxn().If(Key, rev).Put(Key, raw)
-	if takeover {
-		txn.Put(TermKey, raw)
-	}
-	ctx, cancel := context.WithTimeout(ctx, k.patience)
-	defer cancel()
-	res, err := k.cfg.Store.Commit(ctx, txn)
-	k.adapt(ctx.Err() != nil)
-	if err != nil && !k.failing {
-		k.log.Warn("owner record not written", logs.Err(err)...)
-	}
-	k.failing = err != nil
-	return res.Revision(), err == nil && res.Done()
-}
--- /dev/null
+++ b/entry/lead/release.go
@@ -0,0 +1,98 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+
+	"go.uber.org/zap"
+)
+
+// Release gives the record back, so that another VM may take it at once, and
+// returns when that is stored or ctx ends. This VM does not take it again. Run must
+// be under way.
+func (k *Keeper) Release(ctx context.Context) {
+	k.mu.Lock()
+	owner := k.owner
+	k.owner, k.released = false, true
+	k.mu.Unlock()
+	k.signal()
+	if !owner {
+		return
+	}
+	k.askRelease()
+	select {
+	case <-k.gaveBack:
+	case <-ctx.Done():
+		k.log.Warn("ownership not given back in time")
+	}
+}
+
+func (k *Keeper) askRelease() {
+	select {
+	case k.release <- struct{}{}:
+	default:
+	}
+}
+
+// Resign gives the record back for VMs that are better placed to take it. This VM
+// takes it again only when nobody did.
+func (k *Keeper) Resign() {
+	k.mu.Lock()
+	owner := k.owner
+	k.owner = false
+	k.backAt = k.clk.Now().Add(resignFor)
+	k.mu.Unlock()
+	if owner {
+		k.signal()
+		k.askRelease()
+	}
+}
+
+// giveBack writes the record as released, for as long as nobody else changed it.
+func (k *Keeper) giveBack(ctx context.Context) {
+	defer k.gaveBackOnce.Do(func() { close(k.gaveBack) })
+	k.patience = slowTimeout
+	for range releaseTries {
+		k.mu.Lock()
+		next, rev := k.rec, k.rev
+		k.mu.Unlock()
+		next.Released = true
+		if _, ok := k.swap(ctx, rev, next, false); ok {
+			k.log.Info("ownership given back", zap.Int64("epoch", next.Epoch))
+			return
+		}
+		kv, err := k.get(ctx)
+		if err != nil {
+			continue
+		}
+		var rec record
+		if json.Unmarshal(kv.Value(), &rec) != nil || rec.Holder != next.Holder || rec.Epoch != next.Epoch || rec.Released {
+			return
+		}
+		k.mu.Lock()
+		k.rec, k.rev = rec, kv.ModRevision()
+		k.mu.Unlock()
+	}
+}
+
+// Deposed takes in that a write of the term failed because another VM took over.
+func (k *Keeper) Deposed(epoch int64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.owner && k.term.epoch == epoch {
+		k.owner, k.seenAt, k.contact = false, 0, 0
+		k.log.Warn("ownership lost", zap.Int64("epoch", epoch))
+		k.signal()
+	}
+}
+
+// Offered takes in that a holder asked this VM to take over from it.
+func (k *Keeper) Offered(by Holder) {
+	k.mu.Lock()
+	k.offeredBy = by.Addr
+	k.mu.Unlock()
+	select {
+	case k.wake <- struct{}{}:
+	default:
+	}
+}
