--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -15,8 +15,7 @@
 // token and the conditions on TermKey keep a former owner from acting. The owner's
 // authority ends AuthorityFor after it sent its last renewal that succeeded,
 // which is earlier than another VM takes over without such evidence. Clocks here
-// count the time that a
-// VM is suspended.
+// count the time that a VM is suspended.
 package lead
 
 import (
