Obey the bound on a body's size; read no field that nothing uses

Cause: the configuration's max_body_bytes was read and not obeyed, its idle_timeout_ms read and not used. Change: 413 for a larger body; the other field is not read any more. Test: TestAnswers, 'a body too large' (400 before).

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -62,6 +62,8 @@
 // Call is one call of a client.
 type Call struct {
 	Host, Path, Key string
+	// BodyBytes is the length of its body.
+	BodyBytes int
 }
 
 // Desk serves callers. It is safe for concurrent use.
@@ -146,6 +148,9 @@
 	if code != rcode.OK {
 		return code
 	}
+	if most := d.set.Load().Limits().MaxBodyBytes; most > 0 && c.BodyBytes > most {
+		return rcode.BodyTooLarge
+	}
 	id := strings.TrimPrefix(c.Path, q.Prefix)
 	if !graph.ValidID(id) {
 		return rcode.QueueUnknown
--- a/entry/rules/rules.go
+++ b/entry/rules/rules.go
@@ -61,8 +61,8 @@
 
 // Limits bound the requests of callers.
 type Limits struct {
-	MaxBodyBytes  int
-	IdleTimeoutMS int64
+	// MaxBodyBytes bounds a request's body; 0 is no bound of the configuration's own.
+	MaxBodyBytes int
 }
 
 // Set is one version of the configuration.
