Count a job as folded only once the store holds it so

A job that finished while a round was being written was not yet known as waiting for its round, so the folder took it and held it for folded before its write; that write failed, the segment with its last end then counted as one of folded jobs only and was removed, and the next owner read a whole job without that end. Change: finished jobs are noted for their round before the folder looks; a job is folded here when the store has it so, and taken again when that failed. Test: TestFoldStored, red before.

--- a/entry/engine/fold.go
+++ b/entry/engine/fold.go
@@ -97,6 +97,8 @@
 		return
 	}
 	f.at = now
+	// A job that finished since the last round is stored with the next one.
+	e.noteFinished(t, t.round+1)
 	txn := store.NewTxn().If(lead.TermKey, t.Token())
 	jobs := t.state.TakeFoldable(foldMost, e.clk.Wall().UnixMilli(), func(id string) bool {
 		_, wait := t.unstored[id]
@@ -106,7 +108,7 @@
 		raw, err := j.Encode()
 		if err != nil {
 			e.log.Error("finished job not encoded", logs.Err(err)...)
-			return
+			continue
 		}
 		txn.Put(JobPrefix+j.ID, raw)
 	}
@@ -147,8 +149,11 @@
 	}
 	t.folder.busy = false
 	defer e.fold(t)
+	for _, j := range jobs {
+		t.state.FoldStored(j, ok)
+	}
 	if !ok {
-		// Jobs and states that stay are folded or removed by a later owner.
+		// States that stay are removed by a later owner.
 		for _, key := range gone {
 			if strings.HasPrefix(key, events.Prefix) {
 				t.folder.empty = append(t.folder.empty, key)
--- a/entry/sched/fold.go
+++ b/entry/sched/fold.go
@@ -3,8 +3,8 @@
 import "limpethitch.example/entry/graph"
 
 // TakeFoldable returns at most n finished jobs of which nothing runs any more and
-// that pass stored, as what is to be kept of them. The state keeps no more of them
-// either.
+// that pass stored, as what is to be kept of them. They stay whole here until
+// FoldStored says that this was stored.
 func (s *State) TakeFoldable(n int, unixMS int64, stored func(id string) bool) []*graph.Job {
 	var out []*graph.Job
 	keep := s.foldable[:0]
@@ -13,15 +13,26 @@
 			keep = append(keep, j)
 			continue
 		}
-		j.doc = j.doc.Folded(string(j.state), unixMS)
-		j.runs = nil
-		out = append(out, j.doc)
+		out = append(out, j.doc.Folded(string(j.state), unixMS))
 	}
 	clear(s.foldable[len(keep):])
 	s.foldable = keep
 	return out
 }
 
+// FoldStored keeps no more of a job than was stored. A job that could not be
+// stored so is taken again later.
+func (s *State) FoldStored(doc *graph.Job, ok bool) {
+	j := s.jobs[doc.ID]
+	switch {
+	case j == nil:
+	case ok:
+		j.doc, j.runs = doc, nil
+	default:
+		s.foldable = append(s.foldable, j)
+	}
+}
+
 // live reports whether runs of the job have not ended.
 func (j *job) live() bool {
 	for _, steps := range j.runs {
--- /dev/null
+++ b/entry/sched/fold_test.go
@@ -0,0 +1,59 @@
+package sched
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/entry/graph"
+)
+
+// TestFoldStored guards against a finished job that counts as folded although the
+// store did not take it so: segments of the journal that speak of it would be
+// removed, and the next owner would run it again.
+func TestFoldStored(t *testing.T) {
+	t.Parallel()
+	always := func(string) bool { return true }
+	tests := map[string]struct {
+		stored func(string) bool
+		write  []bool // whether each write of a taken job succeeds
+		taken  []int
+		folded bool
+	}{
+		"stored at once":          {stored: always, write: []bool{true, true}, taken: []int{1, 0}, folded: true},
+		"written the second time": {stored: always, write: []bool{false, true}, taken: []int{1, 1}, folded: true},
+		"never written":           {stored: always, write: []bool{false, false}, taken: []int{1, 1}},
+		"its end is not stored":   {stored: func(string) bool { return false }, write: []bool{true}, taken: []int{0}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000}))
+			for _, id := range startsOf(s.Decide(testNow)) {
+				s.Started(id, 1, "w0", OutcomeStarted)
+				s.Observe(Report{Worker: "w0", BornUnixMS: 1, SentAt: testNow, Ended: []Ended{{Number: 1, Task: id, Attempt: 1, How: "d"}}})
+			}
+			var taken []int
+			for _, ok := range tt.write {
+				docs := s.TakeFoldable(10, 10_000, tt.stored)
+				taken = append(taken, len(docs))
+				if len(docs) > 0 && s.Folded(testJob) {
+					t.Error("folded before it was stored")
+				}
+				for _, d := range docs {
+					s.FoldStored(d, ok)
+				}
+			}
+			if diff := cmp.Diff(tt.taken, taken); diff != "" {
+				t.Errorf("jobs taken (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.folded, s.Folded(testJob)); diff != "" {
+				t.Errorf("folded (-want +got):\n%s", diff)
+			}
+			if state, _ := s.Job(testJob); state != JobDone {
+				t.Errorf("state %q", state)
+			}
+		})
+	}
+}
