--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -30,8 +30,11 @@
 	number   int64
 	ended    []sched.Ended
 	observed int64
-	started  chan StartOrder
-	looked   chan LookOrder
+	// hold keeps ends back until release.
+	hold    bool
+	held    []sched.Ended
+	started chan StartOrder
+	looked  chan LookOrder
 }
 
 func newFakeWorker() *fakeWorker {
@@ -42,12 +45,31 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	id, _ := graph.ParseTaskID(o.Task)
-	w.number++
-	w.ended = append(w.ended, sched.Ended{Number: w.number, Task: id, Attempt: o.Attempt, How: events.HowDone})
+	end := sched.Ended{Task: id, Attempt: o.Attempt, How: events.HowDone}
+	if w.hold {
+		w.held = append(w.held, end)
+	} else {
+		w.list(end)
+	}
 	w.started <- o
 	return sched.OutcomeStarted, nil
 }
 
+// list numbers an end and lists it from now on.
+func (w *fakeWorker) list(end sched.Ended) {
+	w.number++
+	end.Number = w.number
+	w.ended = append(w.ended, end)
+}
+
+// release lists the first end that was kept back.
+func (w *fakeWorker) release() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.list(w.held[0])
+	w.held = w.held[1:]
+}
+
 func (w *fakeWorker) Stop(context.Context, StopOrder) error { return nil }
 
 func (w *fakeWorker) Pace(context.Context, PaceOrder) error { return nil }
@@ -64,6 +86,9 @@
 	}
 	w.token, w.observed = o.Token, max(w.observed, o.Observed)
 	reply := LookReply{ClockMS: 1000, BornUnixMS: 1}
+	for _, e := range w.held {
+		reply.Running = append(reply.Running, sched.Running{Task: e.Task, Attempt: e.Attempt})
+	}
 	for _, e := range w.ended {
 		if e.Number > o.Observed {
 			reply.Ended = append(reply.Ended, e)
@@ -138,9 +163,11 @@
 }
 
 // submit stores a job as a VM that accepts it does.
-func (r *rig) submit(t *testing.T) {
+func (r *rig) submit(t *testing.T) { r.submitAs(t, testJob) }
+
+func (r *rig) submitAs(t *testing.T, id string) {
 	t.Helper()
-	job := graph.Job{ID: testJob, Team: "a", Queue: "q", Steps: []graph.Step{{Count: 1, CPUMilli: 1000, EstimateMS: 100}}}
+	job := graph.Job{ID: id, Team: "a", Queue: "q", Steps: []graph.Step{{Count: 1, CPUMilli: 1000, EstimateMS: 100}}}
 	raw, err := job.Encode()
 	if err != nil {
 		t.Fatal(err)
@@ -223,3 +250,50 @@
 		t.Errorf("acknowledged ends (-want +got):\n%s", diff)
 	}
 }
+
+// TestFoldWaitsForTheRound guards against folding a job whose end came while a
+// round was being written and is in no round yet: its record would be reduced to
+// "done" before the journal holds its end.
+func TestFoldWaitsForTheRound(t *testing.T) {
+	t.Parallel()
+	const other = "00000000000000bb"
+	r := newRig(t)
+	r.worker.hold = true
+	r.submit(t)
+	r.submitAs(t, other)
+	<-r.worker.started
+	<-r.worker.started
+	r.st.set(true)
+	r.worker.release()
+	select {
+	case <-r.st.waits:
+	case <-time.After(20 * time.Second):
+		t.Fatal("the first end was not written")
+	}
+	r.worker.release()
+	// The second end is read by the next look that begins; each later look is several
+	// rounds of the folder after the one before it.
+	for len(r.worker.looked) > 0 {
+		<-r.worker.looked
+	}
+	for range 3 {
+		select {
+		case <-r.worker.looked:
+		case <-time.After(20 * time.Second):
+			t.Fatal("the worker is not looked at any more")
+		}
+	}
+	for _, id := range []string{testJob, other} {
+		kv, err := r.st.Get(r.ctx, JobPrefix+id)
+		if err != nil {
+			t.Fatal(err)
+		}
+		job, err := graph.Decode(kv.Value())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff("", job.Final); diff != "" {
+			t.Errorf("job %s folded before its end is stored (-want +got):\n%s", id, diff)
+		}
+	}
+}
