Act on maintenance waves; move work off workers that leave

A wave is seldom and its record small, so it is a key of its own, written under the term's condition before the order that it speaks of. Ordering without a record was ruled out too: a new owner could not tell which VMs are down.

Workers that are emptied get nothing new; service tasks move as their step can spare them, the rest is stopped at the VM's share of the wave's time. A new owner gives its first order when its predecessor's can no longer take turns with it. On draining workers what cannot end in time is stopped, with a checkpoint as late as possible. A service task whose start got no answer is not stopped any more.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -26,6 +26,7 @@
 	"limpethitch.example/entry/rules"
 	"limpethitch.example/entry/sched"
 	"limpethitch.example/entry/stats"
+	"limpethitch.example/entry/upkeep"
 )
 
 // Keys in the store.
@@ -60,6 +61,11 @@
 	StatusFor time.Duration
 	// StopWithin is how long a stop may take on a worker.
 	StopWithin time.Duration
+	// Fleet takes the VMs of workers down for maintenance; nil is a platform
+	// without waves. MaintenanceTakes is how long a VM is away for it, HolderLease how
+	// long after one owner's last order the next one may give its first.
+	Fleet                         Fleet
+	MaintenanceTakes, HolderLease time.Duration
 }
 
 const (
@@ -89,9 +95,11 @@
 	ctx   context.Context // that of Run; belongs to the loop
 
 	// The fields below belong to the loop.
-	set  *rules.Set
-	out  map[string]bool
-	term *term
+	set *rules.Set
+	out map[string]bool
+	// waves are what the operators ask for, by number.
+	waves map[int64]upkeep.Wave
+	term  *term
 	helpers
 }
 
@@ -105,6 +113,10 @@
 	ready   bool
 	workers map[string]*contact
 	folder  folder
+
+	maintenance maintenance
+	// emptying are workers that go down for maintenance, and when.
+	emptying map[string]clock.Mono
 	// sweeping counts the looks under way that do not wait for an end.
 	sweeping int
 
@@ -228,6 +240,7 @@
 	e.term.dirty = true
 	e.lookIdle()
 	e.fold(e.term)
+	e.maintain(e.term)
 	e.logLoad(e.term)
 	e.resign(e.term)
 }
--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -135,6 +135,12 @@
 
 // newRig runs an engine that owns one worker.
 func newRig(t *testing.T) *rig {
+	t.Helper()
+	return newRigWith(t, func(*Config) {})
+}
+
+// newRigWith runs an engine whose settings change makes.
+func newRigWith(t *testing.T, change func(*Config)) *rig {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{}, 2)
@@ -150,12 +156,14 @@
 		t.Fatal(err)
 	}
 	r.keeper = lead.New(lead.Config{Store: r.st, Self: self}, clk, zap.NewNop())
-	r.engine = New(Config{
+	cfg := Config{
 		Self: self, Store: r.st, Keeper: r.keeper, Workers: r.worker, StoreAge: func() time.Duration { return 0 }, Metrics: stats.New(func() int64 { return 0 }), WorkerPrefix: "workers/", Lease: 7 * time.Second,
-		ParseWorker: func(id string, _ []byte) (sched.WorkerSpec, bool) {
+		ParseWorker: func(id string, _ []byte, _ clock.Mono) (sched.WorkerSpec, bool) {
 			return sched.WorkerSpec{ID: id, Addr: id, DataCentre: "dc", Service: "svc", Capacity: amount.New(8000, 8000, 0, 0), BornUnixMS: 1}, true
 		},
-	}, clk, zap.NewNop())
+	}
+	change(&cfg)
+	r.engine = New(cfg, clk, zap.NewNop())
 	r.engine.SetRules(rules.New(1, []rules.Queue{{Name: "q", Service: "svc", MaxAttempts: 2, Stretch: 2}}, nil, rules.Limits{}))
 	go func() { _ = r.engine.Run(ctx); done <- struct{}{} }()
 	go func() { _ = r.keeper.Run(ctx); done <- struct{}{} }()
--- a/entry/engine/ports.go
+++ b/entry/engine/ports.go
@@ -80,8 +80,8 @@
 }
 
 // ParseWorker reads a worker's entry on the platform's list; ok is false for an
-// entry that names no worker to use.
-type ParseWorker func(id string, value []byte) (spec sched.WorkerSpec, ok bool)
+// entry that names no worker to use. now is when the entry was read.
+type ParseWorker func(id string, value []byte, now clock.Mono) (spec sched.WorkerSpec, ok bool)
 
 // Clock counts the time that this VM is suspended.
 type Clock = clock.Clock
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -24,6 +24,7 @@
 	events  []events.Segment
 	workers []store.KV
 	workRev int64
+	waves   []store.KV
 }
 
 const (
@@ -74,6 +75,11 @@
 	if l.events, err = events.Load(ctx, e.cfg.Store); err != nil {
 		return l, rcode.Wrap(err, rcode.Of(err), "engine.load")
 	}
+	if e.cfg.Fleet != nil {
+		if l.waves, _, err = e.cfg.Store.List(ctx, WavePrefix); err != nil {
+			return l, rcode.Wrap(err, rcode.Of(err), "engine.load waves")
+		}
+	}
 	kvs, rev, err := e.cfg.Store.List(ctx, InPrefix)
 	if err != nil {
 		return l, rcode.Wrap(err, rcode.Of(err), "engine.load jobs")
@@ -125,6 +131,7 @@
 		t.state.Cancel(id)
 	}
 	t.ready, t.dirty, t.begunAt = true, true, now
+	e.beginMaintenance(t, l.waves)
 	e.listWorkers(t, l.workers)
 	e.lookIdle()
 	e.log.Info("term begun", zap.Int64("epoch", t.Epoch()), zap.Int("jobs", len(l.jobs)), zap.Int("segments", len(l.events)), zap.Int("events", len(list)),
@@ -204,7 +211,7 @@
 }
 
 func (e *Engine) putWorker(t *term, id string, value []byte) {
-	spec, ok := e.cfg.ParseWorker(id, value)
+	spec, ok := e.cfg.ParseWorker(id, value, e.clk.Now())
 	if !ok {
 		e.log.Warn("worker entry unusable", zap.String("worker", id))
 		e.dropWorker(t, id)
--- /dev/null
+++ b/entry/engine/upkeep_test.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/upkeep"
+)
+
+// fakeFleet has one VM, whose worker is w0. It accepts an order once it was lost
+// once, and checks that the order's record is stored.
+type fakeFleet struct {
+	st     store.Store
+	mu     sync.Mutex
+	orders []MaintainOrder
+	stored []upkeep.Record // as of each order
+}
+
+func (f *fakeFleet) VMs(context.Context) ([]upkeep.VM, error) {
+	return []upkeep.VM{upkeep.NewVM("m0", "w0", upkeep.StateUp)}, nil
+}
+
+func (f *fakeFleet) Maintain(ctx context.Context, o MaintainOrder) (MaintainOutcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.orders = append(f.orders, o)
+	if kv, err := f.st.Get(ctx, WavePrefix+"5"); err == nil {
+		if r, err := upkeep.DecodeRecord(kv.Value()); err == nil {
+			r.DueUnixMS = 0
+			f.stored = append(f.stored, r)
+		}
+	}
+	if len(f.orders) == 1 {
+		return MaintainAgain, context.DeadlineExceeded
+	}
+	return MaintainAccepted, nil
+}
+
+func (f *fakeFleet) Status(wave int64, complete bool) (string, []byte) {
+	raw, _ := json.Marshal(complete)
+	return "status/" + string(rune('0'+wave)), raw
+}
+
+// TestWave guards against a VM that is ordered down before its record is stored, an
+// order that is not sent again when its answer is lost, and a wave that is never
+// said to be complete.
+func TestWave(t *testing.T) {
+	t.Parallel()
+	fl := &fakeFleet{}
+	r := newRigWith(t, func(cfg *Config) {
+		fl.st = cfg.Store
+		cfg.Fleet = fl
+	})
+	r.engine.SetWaves(map[int64]upkeep.Wave{5: upkeep.NewWave(5, []string{"m0"}, 1000, 1)})
+	status := func() string {
+		kv, err := r.st.Get(r.ctx, "status/5")
+		if err != nil {
+			return ""
+		}
+		return string(kv.Value())
+	}
+	for end := time.Now().Add(30 * time.Second); status() != "true"; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the wave is not complete; status %q", status())
+		}
+	}
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	begun := upkeep.Record{Number: 5, Begun: []string{"m0"}}
+	if diff := cmp.Diff([]upkeep.Record{begun, begun}, fl.stored); diff != "" {
+		t.Errorf("records at the orders (-want +got):\n%s", diff)
+	}
+	term, _ := r.keeper.Term()
+	want := MaintainOrder{VM: "m0", Wave: 5, Holder: "vm1-a", Token: term.Token()}
+	if diff := cmp.Diff([]MaintainOrder{want, want}, fl.orders); diff != "" {
+		t.Errorf("orders (-want +got):\n%s", diff)
+	}
+}
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -69,6 +69,7 @@
 	s.copySilent()
 	s.repeatStops()
 	s.stopStalled()
+	s.moveLeaving()
 	s.placeWaiting()
 	return s.TakeDecisions()
 }
@@ -118,7 +119,7 @@
 	switch {
 	case !w.listed, !w.fresh, w.silent, w.spec.Draining, w.strays > 0:
 		return false
-	case s.out[w.spec.DataCentre], s.now < w.suspectUntil:
+	case s.out[w.spec.DataCentre], s.now < w.suspectUntil, s.emptying[w.spec.ID] != 0:
 		return false
 	case st.job.queue.Service != "" && w.spec.Service != st.job.queue.Service:
 		return false
--- a/entry/sched/decision.go
+++ b/entry/sched/decision.go
@@ -28,6 +28,7 @@
 	ReasonBroken   Reason = "a member of the gang ended"
 	ReasonStray    Reason = "not expected there"
 	ReasonResting  Reason = "rested too long"
+	ReasonLeaving  Reason = "its worker leaves"
 	ReasonRepeated Reason = "not ended after an earlier stop"
 )
 
--- /dev/null
+++ b/entry/sched/leave_test.go
@@ -0,0 +1,159 @@
+package sched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/graph"
+)
+
+// stopsOf returns the tasks that are stopped among decisions.
+func stopsOf(list []Decision) []graph.TaskID {
+	var out []graph.TaskID
+	for _, d := range list {
+		if st, ok := d.(Stop); ok {
+			out = append(out, st.Task)
+		}
+	}
+	return out
+}
+
+// startAll carries out all starts of a round.
+func startAll(s *State, now clock.Mono) {
+	for _, d := range s.Decide(now) {
+		if st, ok := d.(Start); ok {
+			s.Started(st.Task, st.Attempt, st.Worker, OutcomeStarted)
+		}
+	}
+}
+
+// TestDraining guards against work that is lost with a worker that told when it
+// leaves, and against stopping what ends before.
+func TestDraining(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		step    graph.Step
+		percent int           // after one second of work
+		left    time.Duration // that the worker has then
+		at      time.Duration // after the start
+		want    int           // stops
+	}{
+		"ends before":            {step: graph.Step{Count: 1, Checkpointing: true}, percent: 50, left: 2 * time.Second, at: 2500 * time.Millisecond},
+		"cannot end, saves late": {step: graph.Step{Count: 1, Checkpointing: true}, percent: 10, left: 3 * time.Second, at: 1500 * time.Millisecond},
+		"saved in time":          {step: graph.Step{Count: 1, Checkpointing: true}, percent: 10, left: 3 * time.Second, at: 3200 * time.Millisecond, want: 1},
+		"cannot save":            {step: graph.Step{Count: 1}, percent: 10, left: 3 * time.Second, at: 1100 * time.Millisecond, want: 1},
+		"service task":           {step: graph.Step{Count: 1, Service: true}, percent: 100, left: 9 * time.Second, at: 1100 * time.Millisecond, want: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			tt.step.CPUMilli, tt.step.EstimateMS = 1000, 5000
+			s.AddJob(newJob(tt.step))
+			startAll(s, testNow)
+			seen := testNow.Add(time.Second)
+			s.SetNow(seen, 11_000)
+			s.Observe(Report{Worker: "w0", BornUnixMS: 1, SentAt: seen, Running: []Running{{Task: taskID(0, 0), Attempt: 1, Percent: tt.percent}}})
+			s.PutWorker(WorkerSpec{
+				ID: "w0", Addr: "w0", DataCentre: "dc", Service: "svc", Capacity: amount.New(32000, 64000, 0, 0), BornUnixMS: 1,
+				Draining: true, LeavesAt: seen.Add(tt.left),
+			})
+			got := stopsOf(s.Decide(testNow.Add(tt.at)))
+			if diff := cmp.Diff(tt.want, len(got)); diff != "" {
+				t.Errorf("stops (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestEmptying guards against a worker that never gets empty for its VM's
+// maintenance, one that still gets work, and service tasks that are away beyond
+// their step's bound.
+func TestEmptying(t *testing.T) {
+	t.Parallel()
+	s := newState(t, nil)
+	s.AddJob(newJob(graph.Step{Count: 3, CPUMilli: 1000, Service: true, MaxUnavailable: 1}, graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 60_000}))
+	startAll(s, testNow)
+	report := func(now clock.Mono, percent ...int) {
+		s.SetNow(now, 11_000)
+		rep := Report{Worker: "w0", BornUnixMS: 1, SentAt: now}
+		for i, p := range percent {
+			id := taskID(0, i)
+			if i == 3 {
+				id = taskID(1, 0)
+			}
+			rep.Running = append(rep.Running, Running{Task: id, Attempt: 1, Percent: p})
+		}
+		s.Observe(rep)
+	}
+	now := testNow.Add(time.Second)
+	report(now, 100, 100, 100, 5)
+	addTestWorker(s, "w1", 2)
+	s.SetEmptying(map[string]clock.Mono{"w0": now.Add(3 * time.Second)})
+	steps := []struct {
+		name string
+		at   time.Duration
+		do   func()
+		want []graph.TaskID
+	}{
+		{name: "one service task at a time", at: 0, want: []graph.TaskID{taskID(0, 0)}},
+		{name: "its bound is used up", at: time.Second / 2},
+		{name: "another one once it works elsewhere", at: time.Second, do: func() {
+			s.Observe(Report{Worker: "w0", BornUnixMS: 1, SentAt: s.now, Ended: []Ended{{Number: 1, Task: taskID(0, 0), Attempt: 1, How: "s"}}, Running: []Running{
+				{Task: taskID(0, 1), Attempt: 1, Percent: 100}, {Task: taskID(0, 2), Attempt: 1, Percent: 100}, {Task: taskID(1, 0), Attempt: 1, Percent: 6},
+			}})
+			for _, d := range s.Decide(s.now) {
+				if st, ok := d.(Start); ok && st.Worker != "w1" {
+					t.Errorf("%v starts on %s, which is being emptied", st.Task, st.Worker)
+				}
+			}
+			s.Started(taskID(0, 0), 2, "w1", OutcomeStarted)
+			s.Observe(Report{Worker: "w1", BornUnixMS: 2, SentAt: s.now, Running: []Running{{Task: taskID(0, 0), Attempt: 2, Percent: 100}}})
+		}, want: []graph.TaskID{taskID(0, 1)}},
+		{name: "the rest at its time", at: 3100 * time.Millisecond, want: []graph.TaskID{taskID(1, 0)}},
+	}
+	for _, step := range steps {
+		s.SetNow(now.Add(step.at), 11_000)
+		if step.do != nil {
+			step.do()
+		}
+		var got []graph.TaskID
+		for _, d := range s.Decide(now.Add(step.at)) {
+			if st, ok := d.(Stop); ok && st.Reason == ReasonLeaving {
+				got = append(got, st.Task)
+			}
+		}
+		if diff := cmp.Diff(step.want, got); diff != "" {
+			t.Errorf("%s: stops (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
+
+// TestUnknownStartOfService guards against stopping a service task whose start got
+// no answer: it may be at work while others of its step are away.
+func TestUnknownStartOfService(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		service bool
+		want    []graph.TaskID
+	}{
+		"service task": {service: true},
+		"batch task":   {want: []graph.TaskID{taskID(0, 0)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000, Service: tt.service}))
+			s.Decide(testNow)
+			s.Started(taskID(0, 0), 1, "w0", OutcomeUnknown)
+			if diff := cmp.Diff(tt.want, stopsOf(s.TakeDecisions())); diff != "" {
+				t.Errorf("stops (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/pace.go
+++ b/entry/sched/pace.go
@@ -74,7 +74,7 @@
 	} else if r.restingFrom == 0 {
 		r.restingFrom = s.now
 	}
-	if r.restingFrom != 0 && s.now.Sub(r.restingFrom) >= restMost {
+	if r.restingFrom != 0 && s.now.Sub(r.restingFrom) >= restMost && s.spare(r) {
 		r.task.avoid = r.worker
 		s.stop(r, ReasonResting)
 		return
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -213,7 +213,10 @@
 		}
 		return
 	case OutcomeUnknown:
-		s.stop(r, ReasonUnknown)
+		// A service task may be at work by now: the worker's list tells.
+		if !r.task.step.spec.Service {
+			s.stop(r, ReasonUnknown)
+		}
 		return
 	case OutcomeNoTicket:
 		delete(r.task.step.adv.tickets, workerID)
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -67,8 +67,10 @@
 	Service    string
 	Capacity   amount.Vec
 	Labels     []string
-	// Draining workers leave soon and get nothing new.
+	// Draining workers leave soon and get nothing new. LeavesAt is the earliest time
+	// at which they end; 0 is not known.
 	Draining bool
+	LeavesAt clock.Mono
 	// BornUnixMS tells incarnations under one id apart; 0 is unknown.
 	BornUnixMS int64
 }
@@ -219,12 +221,14 @@
 
 // State is all that the owner knows. It is not safe for concurrent use.
 type State struct {
-	cfg     Config
-	now     clock.Mono
-	rules   *rules.Set
-	out     map[string]bool // data centres out of service
-	jobs    map[string]*job
-	workers map[string]*worker
+	cfg   Config
+	now   clock.Mono
+	rules *rules.Set
+	out   map[string]bool // data centres out of service
+	// emptying are workers that go down for maintenance, and when.
+	emptying map[string]clock.Mono
+	jobs     map[string]*job
+	workers  map[string]*worker
 	// sorted are the workers in the order in which they were added.
 	sorted []*worker
 	teams  map[string]*team
--- /dev/null
+++ b/entry/upkeep/plan.go
@@ -0,0 +1,281 @@
+package upkeep
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"limpethitch.example/core/clock"
+)
+
+const (
+	// emptyMost bounds how long a worker without new work is waited for; longer
+	// waits cost more room than they save work.
+	emptyMost = 12 * time.Second
+	// slotSlack is what is kept of a VM's share of the wave's time for the order's way
+	// and the list's age.
+	slotSlack = time.Second
+	// orderAgain is the pause before an order that was not accepted is sent again.
+	orderAgain = time.Second
+)
+
+// Config are the settings of a Plan.
+type Config struct {
+	// Takes is how long a VM is away for its maintenance.
+	Takes time.Duration
+}
+
+// Runs returns how many runs a worker has, and whether it is known.
+type Runs func(worker string) (runs int, known bool)
+
+// progress is how far a VM is in its wave.
+type progress struct {
+	begun, done bool
+	// emptyBy is when the worker's remaining runs are stopped; 0 is not chosen yet.
+	emptyBy clock.Mono
+	// acceptedAt is when the platform accepted the order, orderedAt when it was sent
+	// last.
+	acceptedAt, orderedAt clock.Mono
+	// skip: the platform says that it is not for this wave.
+	skip bool
+}
+
+type wave struct {
+	Wave
+	due       clock.Mono
+	dueUnixMS int64
+	vms       map[string]*progress
+	stored    bool // the record was handed out once
+	complete  bool
+}
+
+// Plan holds the open waves.
+type Plan struct {
+	cfg   Config
+	waves map[int64]*wave
+	vms   map[string]VM
+	// askedAt is when the present list was asked for; 0 before the first.
+	askedAt clock.Mono
+}
+
+// NewPlan returns a plan without waves.
+func NewPlan(cfg Config) *Plan {
+	return &Plan{cfg: cfg, waves: make(map[int64]*wave), vms: make(map[string]VM)}
+}
+
+// PutWave adds a wave that is not known yet. due is on this VM's clock, dueUnixMS
+// the same in wall time, for the record.
+func (p *Plan) PutWave(w Wave, due clock.Mono, dueUnixMS int64) {
+	if p.waves[w.number] != nil {
+		return
+	}
+	nw := &wave{Wave: w, due: due, dueUnixMS: dueUnixMS, vms: make(map[string]*progress, len(w.vms))}
+	for _, name := range w.vms {
+		nw.vms[name] = &progress{}
+	}
+	p.waves[w.number] = nw
+}
+
+// Restore takes in the record of a wave that was put before. due is the record's
+// time on this VM's clock.
+func (p *Plan) Restore(r Record, due clock.Mono) {
+	w := p.waves[r.Number]
+	if w == nil {
+		return
+	}
+	w.due, w.dueUnixMS, w.stored, w.complete = due, r.DueUnixMS, true, r.Complete
+	for _, name := range r.Begun {
+		if v := w.vms[name]; v != nil {
+			v.begun = true
+		}
+	}
+	for _, name := range r.Done {
+		if v := w.vms[name]; v != nil {
+			v.begun, v.done = true, true
+		}
+	}
+}
+
+// KeepWaves forgets the waves that the operators do not ask for any more.
+func (p *Plan) KeepWaves(wanted func(number int64) bool) {
+	maps.DeleteFunc(p.waves, func(number int64, _ *wave) bool { return !wanted(number) })
+}
+
+// Open reports whether any wave is not complete.
+func (p *Plan) Open() bool {
+	for _, w := range p.waves {
+		if !w.complete {
+			return true
+		}
+	}
+	return false
+}
+
+// SetVMs takes in the platform's complete list, which was asked for at askedAt.
+func (p *Plan) SetVMs(list []VM, askedAt clock.Mono) {
+	p.vms, p.askedAt = make(map[string]VM, len(list)), askedAt
+	for _, vm := range list {
+		p.vms[vm.name] = vm
+	}
+}
+
+// Accepted notes that the platform accepted the order for a VM at now.
+func (p *Plan) Accepted(number int64, vm string, now clock.Mono) {
+	if v := p.progress(number, vm); v != nil {
+		v.acceptedAt = now
+	}
+}
+
+// Unstored notes that a wave's record was not stored: it is handed out again before
+// the next order.
+func (p *Plan) Unstored(number int64) {
+	if w := p.waves[number]; w != nil {
+		w.stored, w.complete = false, false
+	}
+}
+
+// Skip notes that a VM is not for this wave.
+func (p *Plan) Skip(number int64, vm string) {
+	if v := p.progress(number, vm); v != nil {
+		v.skip = true
+	}
+}
+
+func (p *Plan) progress(number int64, vm string) *progress {
+	w := p.waves[number]
+	if w == nil {
+		return nil
+	}
+	return w.vms[vm]
+}
+
+// Emptying returns the workers that get no new work, each with the time at which
+// its remaining runs are to be stopped.
+func (p *Plan) Emptying() map[string]clock.Mono {
+	var out map[string]clock.Mono
+	for _, w := range p.waves {
+		for name, v := range w.vms {
+			if w.complete || v.done || v.skip || v.emptyBy == 0 {
+				continue
+			}
+			if vm, ok := p.vms[name]; ok && vm.worker != "" && v.acceptedAt == 0 {
+				if out == nil {
+					out = make(map[string]clock.Mono)
+				}
+				out[vm.worker] = v.emptyBy
+			}
+		}
+	}
+	return out
+}
+
+// Next returns what to do now.
+func (p *Plan) Next(now clock.Mono, runs Runs) []Step {
+	if p.askedAt == 0 {
+		return nil
+	}
+	var out []Step
+	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
+		if w := p.waves[number]; !w.complete {
+			out = append(out, p.next(w, now, runs)...)
+		}
+	}
+	return out
+}
+
+func (p *Plan) next(w *wave, now clock.Mono, runs Runs) []Step {
+	changed := !w.stored
+	waiting, away := 0, 0
+	for name, v := range w.vms {
+		vm, listed := p.vms[name]
+		if v.begun && !v.done && v.acceptedAt != 0 && v.acceptedAt < p.askedAt && (!listed || vm.state == StateUp) {
+			v.done, changed = true, true
+		}
+		switch {
+		case v.done, v.skip, !listed:
+		case v.begun, v.emptyBy != 0:
+			away++
+		default:
+			waiting++
+		}
+	}
+	p.choose(w, now, waiting, w.atOnce-away, runs)
+	var begin []Step
+	for _, name := range slices.Sorted(maps.Keys(w.vms)) {
+		v, vm := w.vms[name], p.vms[name]
+		if !v.due(vm, now, runs) {
+			continue
+		}
+		changed = changed || !v.begun
+		v.begun, v.orderedAt = true, now
+		begin = append(begin, Begin{Wave: w.number, VM: name, Worker: vm.worker})
+	}
+	if waiting+away == 0 {
+		w.complete, changed = true, true
+	}
+	if changed {
+		w.stored = true
+		return append([]Step{Store{w.record()}}, begin...)
+	}
+	return begin
+}
+
+// due reports whether the VM's order is to be sent, or sent again.
+func (v *progress) due(vm VM, now clock.Mono, runs Runs) bool {
+	switch {
+	case v.done, v.skip, v.acceptedAt != 0, vm.name == "":
+		return false
+	case v.orderedAt != 0 && now.Sub(v.orderedAt) < orderAgain:
+		return false
+	case v.begun:
+		return true
+	case v.emptyBy == 0 || vm.state != StateUp:
+		return false
+	}
+	n, known := runs(vm.worker)
+	return known && n == 0
+}
+
+// choose picks the next VMs to be emptied, those with the least work first. Each has
+// an equal share of the time that is left.
+func (p *Plan) choose(w *wave, now clock.Mono, waiting, most int, runs Runs) {
+	if most <= 0 || waiting == 0 {
+		return
+	}
+	rounds := (waiting + w.atOnce - 1) / w.atOnce
+	slot := w.due.Sub(now) / time.Duration(rounds)
+	patience := min(emptyMost, max(0, slot-p.cfg.Takes-slotSlack))
+	type candidate struct {
+		v    *progress
+		name string
+		runs int
+	}
+	var list []candidate
+	for name, v := range w.vms {
+		vm := p.vms[name]
+		if v.done || v.skip || v.begun || v.emptyBy != 0 || vm.state != StateUp {
+			continue
+		}
+		if n, known := runs(vm.worker); known {
+			list = append(list, candidate{v: v, name: name, runs: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Or(cmp.Compare(a.runs, b.runs), cmp.Compare(a.name, b.name)) })
+	for _, c := range list[:min(most, len(list))] {
+		c.v.emptyBy = now.Add(patience)
+	}
+}
+
+func (w *wave) record() Record {
+	r := Record{Number: w.number, DueUnixMS: w.dueUnixMS, Complete: w.complete}
+	for _, name := range slices.Sorted(maps.Keys(w.vms)) {
+		switch v := w.vms[name]; {
+		case v.done:
+			r.Done = append(r.Done, name)
+		case v.begun:
+			r.Begun = append(r.Begun, name)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/entry/upkeep/plan_test.go
@@ -0,0 +1,195 @@
+package upkeep
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/clock"
+)
+
+const (
+	testStart = clock.Mono(100 * time.Second)
+	testTakes = 2 * time.Second
+)
+
+// fleet is what a platform does with orders: a VM is away for testTakes, then up.
+type fleet struct {
+	down map[string]clock.Mono // until when
+	runs map[string]int        // by worker
+	done map[string]int        // maintenances begun, by VM
+	gone map[string]bool
+	// stored are the VMs that a stored record names as begun.
+	stored map[string]bool
+}
+
+func newFleet(n int) (*fleet, []string) {
+	f := &fleet{down: make(map[string]clock.Mono), runs: make(map[string]int), done: make(map[string]int), gone: make(map[string]bool), stored: make(map[string]bool)}
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("m%d", i))
+		f.runs["w-"+names[i]] = i
+	}
+	return f, names
+}
+
+func (f *fleet) list(names []string, now clock.Mono) []VM {
+	var out []VM
+	for _, name := range names {
+		if f.gone[name] {
+			continue
+		}
+		state := StateUp
+		if now < f.down[name] {
+			state = StateInUpkeep
+		}
+		out = append(out, NewVM(name, "w-"+name, state))
+	}
+	return out
+}
+
+func (f *fleet) busy(worker string) (int, bool) { return f.runs[worker], true }
+
+// drive plays a wave and returns the most VMs that were down at once and when the
+// wave was complete; 0 is never.
+func (f *fleet) drive(t *testing.T, p *Plan, names []string, lose func(vm string) bool) (most int, end clock.Mono) {
+	t.Helper()
+	for now := testStart; now < testStart.Add(time.Minute); now = now.Add(200 * time.Millisecond) {
+		p.SetVMs(f.list(names, now), now)
+		for worker, by := range p.Emptying() {
+			if now >= by {
+				f.runs[worker] = 0
+			}
+		}
+		for _, step := range p.Next(now, f.busy) {
+			switch step := step.(type) {
+			case Store:
+				for _, name := range step.Record.Begun {
+					f.stored[name] = true
+				}
+				if step.Record.Complete {
+					return most, now
+				}
+			case Begin:
+				if !f.stored[step.VM] {
+					t.Fatalf("%s is ordered before its record is stored", step.VM)
+				}
+				if f.runs[step.Worker] != 0 && f.done[step.VM] == 0 {
+					t.Fatalf("%s is ordered with runs on its worker", step.VM)
+				}
+				if f.done[step.VM] == 0 {
+					f.done[step.VM]++
+					f.down[step.VM] = now.Add(testTakes)
+				}
+				if !lose(step.VM) {
+					p.Accepted(step.Wave, step.VM, now)
+				}
+			}
+		}
+		n := 0
+		for _, until := range f.down {
+			if now < until {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most, 0
+}
+
+// TestWave guards against a wave that is late without need, that has more VMs down
+// at once than it may, or that orders a VM whose worker is not empty.
+func TestWave(t *testing.T) {
+	t.Parallel()
+	never := func(string) bool { return false }
+	tests := map[string]struct {
+		vms, atOnce int
+		span        time.Duration
+		prepare     func(f *fleet)
+		lose        func(vm string) bool
+		most        int
+		within      time.Duration
+	}{
+		"one at a time":   {vms: 4, atOnce: 1, span: 20 * time.Second, most: 1, within: 20 * time.Second},
+		"three at a time": {vms: 12, atOnce: 3, span: 30 * time.Second, most: 3, within: 30 * time.Second},
+		"no time":         {vms: 4, atOnce: 2, span: 0, most: 2, within: 8 * time.Second},
+		"one VM has left": {
+			vms: 4, atOnce: 1, span: 20 * time.Second, most: 1, within: 20 * time.Second,
+			prepare: func(f *fleet) { f.gone["m2"] = true },
+		},
+		"replies are lost": {
+			vms: 4, atOnce: 2, span: 20 * time.Second, most: 2, within: 20 * time.Second,
+			lose: func() func(string) bool {
+				tries := make(map[string]int)
+				return func(vm string) bool { tries[vm]++; return tries[vm] < 3 }
+			}(),
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, names := newFleet(tt.vms)
+			if tt.prepare != nil {
+				tt.prepare(f)
+			}
+			lose := never
+			if tt.lose != nil {
+				lose = tt.lose
+			}
+			p := NewPlan(Config{Takes: testTakes})
+			p.PutWave(NewWave(1, names, tt.span.Milliseconds(), tt.atOnce), testStart.Add(tt.span), 0)
+			most, end := f.drive(t, p, names, lose)
+			if end == 0 || end > testStart.Add(tt.within) {
+				t.Errorf("complete at %v, want within %v", end.Sub(testStart), tt.within)
+			}
+			if most > tt.most {
+				t.Errorf("%d VMs down at once, want at most %d", most, tt.most)
+			}
+			for _, vm := range names {
+				if !f.gone[vm] && f.done[vm] != 1 {
+					t.Errorf("%s went down %d times", vm, f.done[vm])
+				}
+			}
+		})
+	}
+}
+
+// TestWaveRestored guards against a new owner that takes more VMs down beside those
+// that its predecessor began, or that never ends the wave.
+func TestWaveRestored(t *testing.T) {
+	t.Parallel()
+	f, names := newFleet(4)
+	f.done["m0"], f.done["m1"], f.stored["m1"] = 1, 1, true
+	f.down["m1"] = testStart.Add(testTakes)
+	p := NewPlan(Config{Takes: testTakes})
+	due := testStart.Add(15 * time.Second)
+	p.PutWave(NewWave(7, names, 15_000, 1), due, 0)
+	p.Restore(Record{Number: 7, Begun: []string{"m1"}, Done: []string{"m0"}}, due)
+	most, end := f.drive(t, p, names, func(string) bool { return false })
+	if most != 1 || end == 0 || end > due {
+		t.Errorf("%d VMs down at once, complete after %v", most, end.Sub(testStart))
+	}
+	want := map[string]int{"m0": 1, "m1": 1, "m2": 1, "m3": 1}
+	if diff := cmp.Diff(want, f.done); diff != "" {
+		t.Errorf("maintenances (-want +got):\n%s", diff)
+	}
+}
+
+// TestUnstored guards against an order that goes out although its record was not
+// stored.
+func TestUnstored(t *testing.T) {
+	t.Parallel()
+	f, names := newFleet(1)
+	p := NewPlan(Config{Takes: testTakes})
+	p.PutWave(NewWave(1, names, 0, 1), testStart, 0)
+	p.SetVMs(f.list(names, testStart), testStart)
+	p.Next(testStart, f.busy)
+	p.Unstored(1)
+	steps := p.Next(testStart.Add(orderAgain), f.busy)
+	want := []Step{Store{Record{Number: 1, Begun: names}}, Begin{Wave: 1, VM: "m0", Worker: "w-m0"}}
+	if diff := cmp.Diff(want, steps); diff != "" {
+		t.Errorf("steps (-want +got):\n%s", diff)
+	}
+}
--- /dev/null
+++ b/entry/upkeep/upkeep.go
@@ -0,0 +1,116 @@
+// Package upkeep plans maintenance waves: each VM of a wave goes down once, in
+// time, with no more than so many at once, after its worker was emptied.
+//
+// # Usage
+//
+//	p := upkeep.NewPlan(upkeep.Config{Takes: 2 * time.Second}, now)
+//	p.PutWave(upkeep.NewWave(1, vms, atOnce), due)
+//	p.SetVMs(list, askedAt)
+//	steps := p.Next(now, runs) // to be carried out in order
+//	p.Accepted(vm, now)
+//
+// A Plan does no input or output and is used by one goroutine. What it began is
+// stored before it is ordered: a new owner restores the records and orders what
+// was begun once more, which the platform answers as done.
+package upkeep
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"limpethitch.example/core/rcode"
+)
+
+// State is what the platform says of a VM.
+type State string
+
+// States of a VM. Only one that is up can be ordered down.
+const (
+	StateUp       State = "up"
+	StateMoving   State = "moving"
+	StateInUpkeep State = "in upkeep"
+	StateDown     State = "down"
+)
+
+// VM is the host of one worker, as the platform lists it.
+type VM struct {
+	name, worker string
+	state        State
+}
+
+// NewVM returns a VM; worker is the id of the worker on it, empty for none.
+func NewVM(name, worker string, state State) VM { return VM{name: name, worker: worker, state: state} }
+
+// Name returns the VM's name, which outlives its workers.
+func (v VM) Name() string { return v.name }
+
+// Worker returns the id of the worker on the VM.
+func (v VM) Worker() string { return v.worker }
+
+// State returns the VM's state.
+func (v VM) State() State { return v.state }
+
+// Wave is the operators' order to maintain a number of VMs.
+type Wave struct {
+	number int64
+	vms    []string
+	spanMS int64
+	atOnce int
+}
+
+// NewWave returns a wave. spanMS is how long it may take, in milliseconds;
+// atOnce bounds the VMs that are down for it at a time.
+func NewWave(number int64, vms []string, spanMS int64, atOnce int) Wave {
+	return Wave{number: number, vms: vms, spanMS: spanMS, atOnce: max(1, atOnce)}
+}
+
+// Number returns the wave's number.
+func (w Wave) Number() int64 { return w.number }
+
+// SpanMS returns how long the wave may take, in milliseconds.
+func (w Wave) SpanMS() int64 { return w.spanMS }
+
+// Record is what is stored of a wave. The fields are exported because the type is
+// stored as JSON.
+type Record struct {
+	Number int64 `json:"wave"`
+	// DueUnixMS is by when all VMs should be through.
+	DueUnixMS int64 `json:"due"`
+	// Begun are VMs that may have been ordered down, Done those that are through.
+	Begun []string `json:"begun,omitempty"`
+	Done  []string `json:"done,omitempty"`
+	// Complete waves are over.
+	Complete bool `json:"complete,omitempty"`
+}
+
+// Key returns the record's key below prefix.
+func (r Record) Key(prefix string) string { return prefix + strconv.FormatInt(r.Number, 10) }
+
+// Encode returns the stored form.
+func (r Record) Encode() ([]byte, error) {
+	raw, err := json.Marshal(r)
+	return raw, rcode.Wrap(err, rcode.Internal, "upkeep.Encode")
+}
+
+// DecodeRecord reads the stored form.
+func DecodeRecord(raw []byte) (Record, error) {
+	var r Record
+	err := json.Unmarshal(raw, &r)
+	return r, rcode.Wrap(err, rcode.Internal, "upkeep.DecodeRecord")
+}
+
+// Step is something to do for a wave. The types below are the only ones.
+type Step interface{ step() }
+
+// Store has a wave's record stored; the steps after it wait for that.
+type Store struct{ Record Record }
+
+// Begin has a VM taken down for a wave.
+type Begin struct {
+	Wave   int64
+	VM     string
+	Worker string
+}
+
+func (Store) step() {}
+func (Begin) step() {}
