Send no write into a cut, so that its caller can be told "not accepted"

Each write that is sent into a cut may take effect after it, so "not accepted" would be untrue and the client cannot try elsewhere; the VM tried its own way again every 400 ms, and a peer over a connection that was cut as well.

Ruled out: resetting the connection and answering 503. Bytes held up by a partition are lost then, but a write that arrived before is not.

Change: while a write has been unanswered for 200 ms, or the last one was not answered, a read goes ahead of the next write; without an answer nothing is sent, and the caller is refused at once with Retry-After. A peer is asked to write once it has answered a greeting.

Tests: entry/accept TestWay, TestNotSentIntoACut; TestSubmit now expects the second try over the own way after 50 ms in place of 400 ms.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -81,8 +81,8 @@
 	mu    sync.Mutex
 	known []string
 	hint  lead.Holder
-	// answered and failed are when the store last answered and last did not.
-	answered, failed atomic.Int64
+	// way is this VM's own way to the store.
+	way *way
 }
 
 // welcome is what the owner said last.
@@ -93,7 +93,7 @@
 
 // New returns a desk that refuses everything before SetRules.
 func New(cfg Config, clk clock.Clock, log *zap.Logger) *Desk {
-	return &Desk{cfg: cfg, clk: clk, log: log}
+	return &Desk{cfg: cfg, clk: clk, log: log, way: newWay(cfg.Store, clk)}
 }
 
 // SetRules puts a version of the configuration in force.
--- a/entry/accept/write.go
+++ b/entry/accept/write.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"limpethitch.example/core/clock"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/engine"
@@ -13,9 +12,6 @@
 const (
 	storeTimeout = 700 * time.Millisecond
 	retryPause   = 50 * time.Millisecond
-	// avoidFor is how long after a failure this VM's own way to the store is not
-	// tried first.
-	avoidFor = 400 * time.Millisecond
 	// uncertainFor is how long a write that may have taken effect is tried again.
 	uncertainFor = time.Second
 	// existsTries bounds the reads that tell whether a job is stored.
@@ -23,6 +19,8 @@
 	// createTries bounds the VMs that are asked to write for this one.
 	createTries = 2
 	peerTimeout = 600 * time.Millisecond
+	// peerProbeTimeout is how long another VM may take to show that it answers.
+	peerProbeTimeout = 250 * time.Millisecond
 )
 
 // create stores a key unless it exists already: over this VM's own way to the
@@ -55,16 +53,17 @@
 // createAnywhere tries each way to the store once.
 func (d *Desk) createAnywhere(ctx context.Context, key string, raw []byte) rcode.Code {
 	worst := rcode.StoreUnavailable
-	if !d.avoiding() {
-		switch d.Create(ctx, key, raw) {
-		case rcode.OK:
-			return rcode.OK
-		case rcode.OutcomeUnknown:
-			worst = rcode.OutcomeUnknown
-		default:
-		}
+	switch d.Create(ctx, key, raw) {
+	case rcode.OK:
+		return rcode.OK
+	case rcode.OutcomeUnknown:
+		worst = rcode.OutcomeUnknown
+	default:
 	}
 	for _, addr := range d.others() {
+		if !d.peerAnswers(ctx, addr) {
+			continue
+		}
 		call, cancel := context.WithTimeout(ctx, peerTimeout)
 		code := d.cfg.Remote.Create(call, addr, key, raw)
 		cancel()
@@ -80,32 +79,39 @@
 }
 
 // Create stores a key unless it exists already, over this VM's own way to the
-// store. It returns rcode.OutcomeUnknown when the write may still take effect.
+// store. It returns rcode.OutcomeUnknown when the write may still take effect, and
+// sends nothing on a way that seems cut.
 func (d *Desk) Create(ctx context.Context, key string, raw []byte) rcode.Code {
+	if !d.way.open(ctx) {
+		return rcode.StoreUnavailable
+	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	done := d.way.enter()
 	res, err := d.cfg.Store.Commit(call, store.NewTxn().If(key, 0).Put(key, raw))
+	done(err == nil)
 	switch {
 	case err == nil:
-		d.answered.Store(int64(d.clk.Now()))
 		if res.Done() {
 			// A key that existed may hold another value than raw.
 			go d.deliver(key, raw)
 		}
 		return rcode.OK
 	case rcode.Of(err) == rcode.StoreUnavailable:
-		d.failed.Store(int64(d.clk.Now()))
 		return rcode.StoreUnavailable
 	default:
-		d.failed.Store(int64(d.clk.Now()))
 		return rcode.OutcomeUnknown
 	}
 }
 
-// avoiding reports whether the store did not answer this VM a moment ago.
-func (d *Desk) avoiding() bool {
-	failed := d.failed.Load()
-	return failed > d.answered.Load() && d.clk.Now().Sub(clock.Mono(failed)) < avoidFor
+// peerAnswers reports whether another VM answers now, so that a write is not sent
+// on a way that is cut.
+func (d *Desk) peerAnswers(ctx context.Context, addr string) bool {
+	call, cancel := context.WithTimeout(ctx, peerProbeTimeout)
+	defer cancel()
+	g := engine.Greeting{From: d.cfg.Self, StoreAge: d.cfg.StoreAge(), CPUMilli: d.cfg.CPUMilli}
+	_, err := d.cfg.Remote.Hello(call, addr, g)
+	return err == nil || rcode.Of(err) == rcode.NotOwner
 }
 
 // exists reports whether a job is stored.
