Bring a new owner to its first decisions sooner

The logs show: lists read one after the other (565 to 758 ms for 2,698 to 5,358 jobs); first looks that waited behind 70 workers of a data centre that was cut off, since each of them held one of 40 places for 0.9 s (131 of 280 workers known 1 s after the term had begun); 0.9 s until a process that nothing listens for was replaced.

Ruled out: an earlier takeover without evidence. It would need a shorter authority, which a slow store (240 ms an answer) does not leave room for.

Change: lists are read at once; an unanswered first look leaves its place after 120 ms; refused connections count as evidence after 0.5 s. A look whose answer is lost is given up 350 ms after its time, in place of 900 ms, and followed by another one at once.

--- a/entry/engine/contact.go
+++ b/entry/engine/contact.go
@@ -34,8 +34,11 @@
 const (
 	// lookWait is how long a worker may wait for an end before it answers a look.
 	lookWait = time.Second
-	// lookSlack is how much longer than that an answer may take.
-	lookSlack = 900 * time.Millisecond
+	// lookSlack is how much longer than that an answer may take. The first look that
+	// stays unanswered is given up sooner: the answer alone may be lost, and the next
+	// look over another connection tells.
+	lookSlack      = 900 * time.Millisecond
+	lookSlackFirst = 350 * time.Millisecond
 	// ackPatience is how long a look waits for the store, so that it can
 	// acknowledge ends.
 	ackPatience = 600 * time.Millisecond
@@ -45,6 +48,9 @@
 	// sweepMost bounds the looks under way that do not wait for an end: after a
 	// takeover all workers are looked at for the first time, over new connections.
 	sweepMost = 40
+	// sweepSlot is how long an unanswered one counts: workers behind a cut answer
+	// nothing and must not keep the others waiting.
+	sweepSlot = 120 * time.Millisecond
 
 	startTimeout = 400 * time.Millisecond
 	startTries   = 3
@@ -95,7 +101,7 @@
 	}
 	if c.failures > 0 {
 		wait = 0
-		if now.Sub(c.lookedAt) < lookAgain {
+		if c.failures > 1 && now.Sub(c.lookedAt) < lookAgain {
 			return
 		}
 		// The worker may have been born again under its id, and counts its ends anew:
@@ -115,37 +121,60 @@
 		}
 		order.ExpiresMS = c.expiresMS
 	}
-	if wait == 0 {
-		if t.sweeping >= sweepMost {
-			return
-		}
-		t.sweeping++
+	if wait == 0 && t.sweeping >= sweepMost {
+		return
 	}
 	order.Wait = wait
 	c.looking = true
+	leave := e.enterSweep(t, wait == 0)
+	slack := lookSlack
+	if wait > 0 {
+		slack = lookSlackFirst
+	}
 	go func() {
-		ctx, cancel := context.WithTimeout(t.ctx, wait+lookSlack)
+		ctx, cancel := context.WithTimeout(t.ctx, wait+slack)
 		defer cancel()
 		reply, err := e.cfg.Workers.Look(ctx, order)
-		e.post(func() { e.looked(t, c, now, wait == 0, reply, err) })
+		e.post(func() {
+			leave()
+			e.looked(t, c, now, reply, err)
+		})
 	}()
 }
 
-// looked takes in the answer to a look that was sent at sent; swept says that it
-// did not wait.
-func (e *Engine) looked(t *term, c *contact, sent clock.Mono, swept bool, reply LookReply, err error) {
+// enterSweep counts a look that does not wait for an end, until its answer is there
+// or sweepSlot has passed. The function returned ends that sooner.
+func (e *Engine) enterSweep(t *term, swept bool) (leave func()) {
+	if !swept {
+		return func() {}
+	}
+	t.sweeping++
+	left := false
+	leave = func() {
+		if left || e.term != t {
+			return
+		}
+		left = true
+		t.sweeping--
+		e.lookIdle()
+	}
+	time.AfterFunc(sweepSlot, func() { e.post(leave) })
+	return leave
+}
+
+// looked takes in the answer to a look that was sent at sent.
+func (e *Engine) looked(t *term, c *contact, sent clock.Mono, reply LookReply, err error) {
 	if e.term != t {
 		return
 	}
 	now := e.clk.Now()
 	c.looking, c.lookedAt = false, now
 	t.dirty = true
-	if swept {
-		t.sweeping--
-		defer e.lookIdle()
-	}
 	if err != nil {
 		e.lookFailed(t, c, err)
+		if c.failures == 1 {
+			e.look(t, c)
+		}
 		return
 	}
 	if c.failures > 0 {
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"limpethitch.example/core/logs"
 	"limpethitch.example/core/rcode"
@@ -66,23 +67,34 @@
 	return time.Duration(float64(e.cfg.Lease)*(1+driftShare)) + lapseSlack
 }
 
+// load reads the state from the store, all parts at once: a new owner decides
+// nothing before it has them.
 func (e *Engine) load(ctx context.Context) (loaded, error) {
 	var l loaded
-	var err error
-	if l.workers, l.workRev, err = e.cfg.Store.List(ctx, e.cfg.WorkerPrefix); err != nil {
-		return l, rcode.Wrap(err, rcode.Of(err), "engine.load workers")
-	}
-	if l.events, err = events.Load(ctx, e.cfg.Store); err != nil {
-		return l, rcode.Wrap(err, rcode.Of(err), "engine.load")
-	}
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() (err error) {
+		l.workers, l.workRev, err = e.cfg.Store.List(ctx, e.cfg.WorkerPrefix)
+		return rcode.Wrap(err, rcode.Of(err), "engine.load workers")
+	})
+	group.Go(func() (err error) {
+		l.events, err = events.Load(ctx, e.cfg.Store)
+		return rcode.Wrap(err, rcode.Of(err), "engine.load")
+	})
+	group.Go(func() error { return e.loadJobs(ctx, &l) })
 	if e.cfg.Fleet != nil {
-		if l.waves, _, err = e.cfg.Store.List(ctx, WavePrefix); err != nil {
-			return l, rcode.Wrap(err, rcode.Of(err), "engine.load waves")
-		}
+		group.Go(func() (err error) {
+			l.waves, _, err = e.cfg.Store.List(ctx, WavePrefix)
+			return rcode.Wrap(err, rcode.Of(err), "engine.load waves")
+		})
 	}
+	return l, group.Wait()
+}
+
+// loadJobs reads accepted jobs and their cancellations.
+func (e *Engine) loadJobs(ctx context.Context, l *loaded) error {
 	kvs, rev, err := e.cfg.Store.List(ctx, InPrefix)
 	if err != nil {
-		return l, rcode.Wrap(err, rcode.Of(err), "engine.load jobs")
+		return rcode.Wrap(err, rcode.Of(err), "engine.load jobs")
 	}
 	l.inRev = rev
 	for _, kv := range kvs {
@@ -97,7 +109,7 @@
 		}
 		l.jobs = append(l.jobs, job)
 	}
-	return l, nil
+	return nil
 }
 
 func (e *Engine) loaded(t *term, l loaded, took time.Duration) {
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -48,8 +48,8 @@
 	TakeAfter = 1500 * time.Millisecond
 
 	// refusedAfter is how long an unchanged record is waited for when nothing listens
-	// at the owner's address: two renewals that did not come.
-	refusedAfter = 900 * time.Millisecond
+	// at the owner's address: one renewal that did not come.
+	refusedAfter = 500 * time.Millisecond
 	probeTimeout = 300 * time.Millisecond
 
 	renewEvery = 400 * time.Millisecond
