Replay loads against the decisions

LIMPET_LOAD_FIGURES=1 prints all figures.

Tried with it and taken out: keeping workers for waiting gangs by when their room comes free (12% of the workers, for gangs that are late too) in place of two gangs at a time.

A run that is not confirmed is expected to end by its queue's mean, not at once.

--- a/entry/sched/leave.go
+++ b/entry/sched/leave.go
@@ -91,7 +91,11 @@
 		took := r.listedAt.Sub(r.confirmedAt)
 		return r.confirmedAt.Add(took * complete / time.Duration(r.percent))
 	}
-	return r.confirmedAt.Add(time.Duration(s.learned.runMS(st.job.doc.Queue, st.spec)) * time.Millisecond)
+	from := r.confirmedAt
+	if !r.confirmed {
+		from = s.now
+	}
+	return from.Add(time.Duration(s.learned.runMS(st.job.doc.Queue, st.spec)) * time.Millisecond)
 }
 
 // spare reports whether a run of a service task may be interrupted: one that is at
--- /dev/null
+++ b/entry/sched/load_days_test.go
@@ -0,0 +1,104 @@
+package sched
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"limpethitch.example/entry/rules"
+)
+
+// Kinds of jobs as the users describe them: long gangs, wide batches that may wait,
+// and short urgent jobs. scale multiplies their rates.
+func loadKinds(scale float64) []loadKind {
+	advice := func(base, per float64) *rules.Advice {
+		return &rules.Advice{BaseMS: base, PerWorkerMS: per, ValidMS: 2000}
+	}
+	return []loadKind{
+		{
+			queue:     rules.Queue{Name: "render", Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 2.2, TargetMS: 1000, Advice: advice(450, 6.5)},
+			perSecond: 4.11 * scale, steps: amountOf{1.2, 0.4, 3}, width: amountOf{20, 0.8, 120}, cpu: amountOf{9000, 0.4, 15000},
+			memory: amountOf{33000, 0.5, 65000}, workMS: amountOf{5000, 0.5, 12000}, gang: 1, saves: 0.5, good: 0.35, worth: 13.6,
+		},
+		{
+			queue:     rules.Queue{Name: "proofs", Service: "svc", Priority: 2, MaxAttempts: 4, Stretch: 4, TargetMS: 3000, Advice: advice(100, 1.4)},
+			perSecond: 8.97 * scale, steps: amountOf{1.5, 0.4, 3.8}, width: amountOf{25, 0.8, 150}, cpu: amountOf{3300, 0.45, 9900},
+			memory: amountOf{9400, 0.6, 28000}, workMS: amountOf{2700, 0.5, 6800}, saves: 0.8, fails: 0.05, good: 0.45, worth: 3.9,
+		},
+		{
+			queue:     rules.Queue{Name: "thumbs", Service: "svc", Priority: 0, MaxAttempts: 3, Stretch: 1.5, TargetMS: 300, Advice: advice(7.2, 0.1)},
+			perSecond: 90 * scale, steps: amountOf{1, 0, 2.5}, width: amountOf{3.2, 0.8, 19}, cpu: amountOf{4700, 0.45, 14000},
+			memory: amountOf{9600, 0.6, 29000}, workMS: amountOf{640, 0.5, 1600}, gang: 0.3, good: 0.7, worth: 0.391,
+		},
+	}
+}
+
+// smallKinds are the same for a site of 48 workers.
+func smallKinds(scale float64) []loadKind {
+	kinds := loadKinds(1)
+	for i, k := range []struct{ perSecond, width, cpu, memory float64 }{{1.65, 6.4, 9000, 13000}, {5.45, 10, 1800, 2600}, {48.3, 2, 2600, 2700}} {
+		kinds[i].perSecond, kinds[i].width.mean, kinds[i].cpu.mean, kinds[i].memory.mean = k.perSecond*scale, k.width, k.cpu, k.memory
+		kinds[i].width.most, kinds[i].cpu.most, kinds[i].memory.most = 5*k.width, 2*k.cpu, 2*k.memory
+	}
+	return kinds
+}
+
+// TestLoadFigures prints the figures of all loads; it is for work on the decisions.
+func TestLoadFigures(t *testing.T) {
+	if os.Getenv("LIMPET_LOAD_FIGURES") == "" {
+		t.Skip("set LIMPET_LOAD_FIGURES to print the figures")
+	}
+	t.Parallel()
+	for name, d := range loadDays() {
+		for seed := uint64(1); seed <= 6; seed++ {
+			t.Run(name, func(t *testing.T) {
+				t.Parallel()
+				l := newLoad(t, seed, d.workers, d.vms, d.kinds)
+				whole, byKind, used := l.run(d.length)
+				t.Logf("%-22s seed %d: worth %.3f, by kind %.3f, used %.2f, thrown away %.0f core-seconds, asked %d ms of %d, gangs by size %.2f", name, seed, whole, byKind, used, l.wasted/1000, l.asked, int64(d.vms)*d.length.Milliseconds(), l.bySize(0))
+			})
+		}
+	}
+}
+
+type loadDay struct {
+	workers, vms int
+	length       time.Duration
+	kinds        []loadKind
+}
+
+// loadDays are the loads that the decisions answer.
+func loadDays() map[string]loadDay {
+	burst := func(kinds []loadKind, at int, x float64) []loadKind {
+		kinds[at].burst, kinds[at].burstFrom, kinds[at].burstTo = x, 12*time.Second, 16*time.Second
+		return kinds
+	}
+	return map[string]loadDay{
+		"large, calm":         {workers: 350, vms: 29, length: 30 * time.Second, kinds: loadKinds(1.1)},
+		"large, gangs burst":  {workers: 350, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(1.1), 0, 2)},
+		"small, calm":         {workers: 48, vms: 9, length: 40 * time.Second, kinds: smallKinds(1.1)},
+		"small, gangs burst":  {workers: 48, vms: 9, length: 40 * time.Second, kinds: burst(smallKinds(1.1), 0, 2)},
+		"large, urgent burst": {workers: 350, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(1.1), 2, 2)},
+	}
+}
+
+// loadTarget is the part of the worth that callers get where no fault is.
+const loadTarget = 0.9
+
+// TestLoad guards against decisions that leave callers without what the workers can
+// give: bursts of wide gangs on workers in use, and the calls for advice that they
+// cost, beside work that may wait and urgent work.
+func TestLoad(t *testing.T) {
+	t.Parallel()
+	for _, name := range []string{"small, calm", "small, gangs burst", "large, gangs burst"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := loadDays()[name]
+			l := newLoad(t, 2, d.workers, d.vms, d.kinds)
+			whole, byKind, _ := l.run(d.length)
+			if whole < loadTarget {
+				t.Errorf("seed 2: worth %.3f, by kind %.3f, want %.2f", whole, byKind, loadTarget)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/entry/sched/load_test.go
@@ -0,0 +1,430 @@
+package sched
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/rules"
+)
+
+// A replayed load drives a State with a seeded stream of jobs against workers that
+// do what they are told, on a clock of its own, and counts what callers get: the
+// part of the jobs' worth that was complete by its objective, a fifth of it up to
+// three times the objective. All its figures are counts on that clock.
+
+const (
+	loadStep = 10 * time.Millisecond
+	// loadWay is how long an order takes to a worker, or a report from it.
+	loadWay      = 10 * time.Millisecond
+	loadStopTime = 150 * time.Millisecond
+	loadWorkerMS = 32000
+)
+
+// amountOf is a random size with a mean and a spread.
+type amountOf struct{ mean, spread, most float64 }
+
+func (a amountOf) draw(rng *rand.Rand) float64 {
+	sigma := math.Sqrt(math.Log(1 + a.spread*a.spread))
+	return min(a.most, a.mean*math.Exp(sigma*rng.NormFloat64()-sigma*sigma/2))
+}
+
+// loadKind is one kind of job.
+type loadKind struct {
+	queue               rules.Queue
+	perSecond           float64
+	steps, width        amountOf
+	cpu, memory, workMS amountOf
+	gang, saves, fails  float64 // shares of the steps, and of the runs
+	good                float64 // share of the workers that a step may use
+	worth               float64
+	// burst multiplies the rate between burstFrom and burstTo.
+	burst              float64
+	burstFrom, burstTo time.Duration
+}
+
+type loadRun struct {
+	id       graph.TaskID
+	attempt  int
+	worker   string
+	step     *loadStepSpec
+	from     clock.Mono
+	ends     clock.Mono // 0 while the gang is not whole
+	stops    clock.Mono
+	base     time.Duration // work done by earlier runs
+	how      events.How
+	reported int
+}
+
+type loadStepSpec struct {
+	spec   *graph.Step
+	work   time.Duration
+	job    *loadJob
+	fails  float64
+	good   float64
+	ran    map[int]time.Duration // work saved, by task
+	failed bool
+}
+
+type loadJob struct {
+	kind      int
+	at        clock.Mono
+	objective time.Duration
+	worth     float64
+	steps     []*loadStepSpec
+	done      clock.Mono
+}
+
+type load struct {
+	t       *testing.T
+	rng     *rand.Rand
+	now     clock.Mono
+	state   *State
+	kinds   []loadKind
+	jobs    map[string]*loadJob
+	runs    []*loadRun
+	ended   map[string][]Ended
+	numbers map[string]int64
+	workers []string
+	vms     []clock.Mono // busy until
+	later   []order
+	next    int
+	// cpu is the sum of milli-core-seconds in use, wasted those of work thrown away.
+	cpu, wasted float64
+	// asked is the time of the calls for advice, by kind, in milliseconds.
+	asked []int64
+}
+
+func newLoad(t *testing.T, seed uint64, workers, vms int, kinds []loadKind) *load {
+	t.Helper()
+	l := &load{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: clock.Mono(time.Second), kinds: kinds, jobs: make(map[string]*loadJob),
+		ended: make(map[string][]Ended), numbers: make(map[string]int64), vms: make([]clock.Mono, vms), asked: make([]int64, len(kinds)),
+	}
+	l.state = New(Config{StartWithin: 2 * time.Second, RecoveredLapse: 14 * time.Second, StopSlack: loadStopTime, Adviser: l.adviser})
+	l.state.SetNow(l.now, l.wall())
+	var queues []rules.Queue
+	for i := range kinds {
+		queues = append(queues, kinds[i].queue)
+	}
+	l.state.SetRules(rules.New(1, queues, nil, rules.Limits{}))
+	for i := range workers {
+		id := fmt.Sprintf("w%03d", i)
+		l.workers = append(l.workers, id)
+		l.state.PutWorker(WorkerSpec{
+			ID: id, Addr: id, DataCentre: "dc", Service: "svc", Labels: []string{"b", fmt.Sprintf("r%d", i/8)},
+			Capacity: amount.New(loadWorkerMS, 131072, 0, 0), BornUnixMS: 1,
+		})
+		l.state.Observe(Report{Worker: id, BornUnixMS: 1, SentAt: l.now})
+	}
+	return l
+}
+
+func (l *load) wall() int64 { return time.Duration(l.now).Milliseconds() }
+
+func (l *load) in(d time.Duration, f func()) {
+	l.later = append(l.later, order{at: l.now.Add(d), apply: f})
+}
+
+// adviser reserves the VM that is free first; long calls leave a third of the VMs
+// to short ones.
+func (l *load) adviser(costMS int64) (string, bool) {
+	from := 0
+	if costMS >= 80 {
+		from = len(l.vms) / 3
+	}
+	best := from
+	for i := from; i < len(l.vms); i++ {
+		if l.vms[i] < l.vms[best] {
+			best = i
+		}
+	}
+	if l.vms[best] > l.now.Add(30*time.Millisecond) {
+		return "", false
+	}
+	l.vms[best] = max(l.vms[best], l.now).Add(time.Duration(costMS) * time.Millisecond)
+	return fmt.Sprint(best), true
+}
+
+func allowedBy(step, worker string, good float64) bool {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(step + worker))
+	return float64(h.Sum32()%1000) < good*1000
+}
+
+func (l *load) ask(d Ask) {
+	id, _ := parseStep(d.Step)
+	good := l.jobs[id.Job].steps[id.Step].good
+	l.asked[l.jobs[id.Job].kind] += d.CostMS
+	var tickets []Ticket
+	for _, w := range d.Workers {
+		if allowedBy(d.Step, w, good) {
+			tickets = append(tickets, Ticket{Worker: w, Value: "t"})
+		}
+	}
+	l.in(time.Duration(d.CostMS)*time.Millisecond+2*loadWay, func() {
+		l.state.Advised(d.Step, d.Workers, tickets, l.now.Add(2*time.Second-loadWay), true)
+	})
+}
+
+func (l *load) submit(kind int) {
+	k := &l.kinds[kind]
+	l.next++
+	j := &graph.Job{ID: fmt.Sprintf("%016x", l.next), Team: "a", Queue: k.queue.Name, AcceptedUnixMS: l.wall()}
+	lj := &loadJob{kind: kind, at: l.now}
+	var chain time.Duration
+	cores := 0.0
+	for i := range max(1, int(k.steps.draw(l.rng)+0.5)) {
+		work := time.Duration(k.workMS.draw(l.rng)) * time.Millisecond
+		st := graph.Step{
+			Count: max(1, int(k.width.draw(l.rng))), CPUMilli: int64(k.cpu.draw(l.rng)), MemoryMiB: int64(k.memory.draw(l.rng)),
+			EstimateMS: int64(float64(work.Milliseconds()) * (0.5 + l.rng.Float64())), Gang: l.rng.Float64() < k.gang, Checkpointing: l.rng.Float64() < k.saves,
+		}
+		if i > 0 {
+			st.After = []int{i - 1}
+		}
+		chain += work
+		cores += float64(st.Count) * float64(st.CPUMilli) * work.Seconds()
+		j.Steps = append(j.Steps, st)
+		lj.steps = append(lj.steps, &loadStepSpec{work: work, job: lj, fails: k.fails, good: k.good, ran: make(map[int]time.Duration)})
+	}
+	for i := range lj.steps {
+		lj.steps[i].spec = &j.Steps[i]
+	}
+	mean := k.steps.mean * k.width.mean * k.cpu.mean * k.workMS.mean / 1000
+	lj.worth = k.worth * min(4, 0.3+0.7*cores/mean)
+	lj.objective = time.Duration(k.queue.Stretch*float64(chain)) + time.Duration(k.queue.TargetMS)*time.Millisecond
+	l.jobs[j.ID] = lj
+	l.state.AddJob(j)
+}
+
+func (l *load) start(d Start) {
+	st := l.jobs[d.Task.Job].steps[d.Task.Step]
+	r := &loadRun{id: d.Task, attempt: d.Attempt, worker: d.Worker, step: st, how: events.HowDone}
+	r.base = st.ran[0]
+	if !st.spec.Gang {
+		r.base = st.ran[d.Task.Index]
+		if l.rng.Float64() < st.fails {
+			r.how = events.HowFailed
+		}
+	}
+	l.in(loadWay, func() {
+		l.runs = append(l.runs, r)
+		r.from = l.now
+		l.state.Started(d.Task, d.Attempt, d.Worker, OutcomeStarted)
+		if !st.spec.Gang {
+			r.ends = l.now.Add(st.work - r.base)
+			return
+		}
+		var members []*loadRun
+		for _, o := range l.runs {
+			if o.step == st && o.attempt == d.Attempt {
+				members = append(members, o)
+			}
+		}
+		if len(members) == st.spec.Count {
+			for _, o := range members {
+				o.from, o.ends = l.now, l.now.Add(st.work-r.base)
+			}
+		}
+	})
+}
+
+func (l *load) stop(d Stop) {
+	l.in(loadWay, func() {
+		for _, r := range l.runs {
+			if r.id == d.Task && r.attempt == d.Attempt && r.stops == 0 {
+				r.stops = l.now.Add(loadStopTime)
+			}
+		}
+		l.state.Stopped(d.Task, d.Attempt, d.Worker)
+	})
+}
+
+// work ends what is due.
+func (l *load) work() {
+	touched := make(map[string]bool)
+	l.runs = slices.DeleteFunc(l.runs, func(r *loadRun) bool {
+		how := r.how
+		switch {
+		case r.ends != 0 && l.now >= r.ends:
+		case r.stops != 0 && l.now >= r.stops:
+			how = events.HowStopped
+			l.stopped(r)
+		default:
+			return false
+		}
+		l.numbers[r.worker]++
+		l.ended[r.worker] = append(l.ended[r.worker], Ended{Number: l.numbers[r.worker], Task: r.id, Attempt: r.attempt, How: how, Saved: r.saved()})
+		touched[r.worker] = true
+		return true
+	})
+	if len(touched) > 0 {
+		l.in(loadWay, func() {
+			for _, w := range slices.Sorted(maps.Keys(touched)) {
+				l.report(w)
+			}
+		})
+	}
+}
+
+// stopped counts what a stop throws away.
+func (l *load) stopped(r *loadRun) {
+	if r.ends == 0 {
+		return
+	}
+	ran := l.now.Sub(r.from)
+	if r.step.spec.Checkpointing {
+		at := r.id.Index
+		if r.step.spec.Gang {
+			at = 0
+		}
+		r.step.ran[at] = max(r.step.ran[at], r.base+ran)
+		return
+	}
+	l.wasted += ran.Seconds() * float64(r.step.spec.CPUMilli)
+}
+
+func (r *loadRun) saved() string {
+	if r.step.spec.Checkpointing {
+		return "c"
+	}
+	return ""
+}
+
+func (l *load) report(worker string) {
+	rep := Report{Worker: worker, BornUnixMS: 1, SentAt: l.now.Add(-loadWay), Ended: l.ended[worker]}
+	for _, r := range l.runs {
+		if r.worker == worker {
+			p := 0
+			if r.ends != 0 {
+				p = int(100 * (r.base + l.now.Sub(r.from)) / r.step.work)
+			}
+			rep.Running = append(rep.Running, Running{Task: r.id, Attempt: r.attempt, Percent: min(99, p)})
+		}
+	}
+	l.ended[worker] = nil
+	l.state.Observe(rep)
+}
+
+// run plays the load and returns the part of its worth that callers got, whole and
+// by kind, and the part of the workers that was in use.
+func (l *load) run(length time.Duration) (whole float64, byKind []float64, used float64) {
+	begin := l.now
+	for l.now < begin.Add(length+30*time.Second) {
+		if at := l.now.Sub(begin); at < length {
+			for i := range l.kinds {
+				k := &l.kinds[i]
+				rate := k.perSecond
+				if at >= k.burstFrom && at < k.burstTo {
+					rate *= k.burst
+				}
+				if l.rng.Float64() < rate*loadStep.Seconds() {
+					l.submit(i)
+				}
+			}
+			l.cpu += float64(l.state.Load().UsedCPU) * loadStep.Seconds()
+		}
+		l.state.SetNow(l.now, l.wall())
+		l.work()
+		var due []order
+		l.later = slices.DeleteFunc(l.later, func(o order) bool {
+			if o.at <= l.now {
+				due = append(due, o)
+				return true
+			}
+			return false
+		})
+		for _, o := range due {
+			o.apply()
+		}
+		if time.Duration(l.now)%time.Second == 0 {
+			for _, w := range l.workers {
+				l.report(w)
+			}
+		}
+		for _, d := range l.state.Decide(l.now) {
+			switch d := d.(type) {
+			case Start:
+				l.start(d)
+			case Stop:
+				l.stop(d)
+			case Ask:
+				l.ask(d)
+			case Pace:
+			}
+		}
+		l.state.TakeEvents()
+		for _, f := range l.state.TakeFinished() {
+			if f.State == JobDone {
+				l.jobs[f.ID].done = l.now
+			}
+		}
+		l.now = l.now.Add(loadStep)
+	}
+	return l.credit(length)
+}
+
+func (l *load) credit(length time.Duration) (whole float64, byKind []float64, used float64) {
+	owed, got := make([]float64, len(l.kinds)), make([]float64, len(l.kinds))
+	for _, j := range l.jobs {
+		owed[j.kind] += j.worth
+		switch took := j.done.Sub(j.at); {
+		case j.done == 0 || took > 3*j.objective:
+		case took > j.objective:
+			got[j.kind] += j.worth / 5
+		default:
+			got[j.kind] += j.worth
+		}
+	}
+	var sumOwed, sumGot float64
+	for i := range owed {
+		sumOwed += owed[i]
+		sumGot += got[i]
+		byKind = append(byKind, got[i]/owed[i])
+	}
+	return sumGot / sumOwed, byKind, l.cpu / float64(len(l.workers)) / loadWorkerMS / length.Seconds()
+}
+
+// bySize returns the credit of the largest tenth of a kind, the fifth below it and
+// the rest.
+func (l *load) bySize(kind int) [3]float64 {
+	var list []*loadJob
+	for _, j := range l.jobs {
+		if j.kind == kind {
+			list = append(list, j)
+		}
+	}
+	slices.SortFunc(list, func(a, b *loadJob) int { return cmp.Compare(b.worth, a.worth) })
+	var owed, got [3]float64
+	for i, j := range list {
+		tier := 2
+		if i < len(list)/10 {
+			tier = 0
+		} else if i < 3*len(list)/10 {
+			tier = 1
+		}
+		owed[tier] += j.worth
+		switch took := j.done.Sub(j.at); {
+		case j.done == 0 || took > 3*j.objective:
+		case took > j.objective:
+			got[tier] += j.worth / 5
+		default:
+			got[tier] += j.worth
+		}
+	}
+	for i := range got {
+		got[i] /= owed[i]
+	}
+	return got
+}
