--- a/entry/sched/load_test.go
+++ b/entry/sched/load_test.go
@@ -54,26 +54,24 @@
 }
 
 type loadRun struct {
-	id       graph.TaskID
-	attempt  int
-	worker   string
-	step     *loadStepSpec
-	from     clock.Mono
-	ends     clock.Mono // 0 while the gang is not whole
-	stops    clock.Mono
-	base     time.Duration // work done by earlier runs
-	how      events.How
-	reported int
+	id      graph.TaskID
+	attempt int
+	worker  string
+	step    *loadStepSpec
+	from    clock.Mono
+	ends    clock.Mono // 0 while the gang is not whole
+	stops   clock.Mono
+	base    time.Duration // work done by earlier runs
+	how     events.How
 }
 
 type loadStepSpec struct {
-	spec   *graph.Step
-	work   time.Duration
-	job    *loadJob
-	fails  float64
-	good   float64
-	ran    map[int]time.Duration // work saved, by task
-	failed bool
+	spec  *graph.Step
+	work  time.Duration
+	job   *loadJob
+	fails float64
+	good  float64
+	ran   map[int]time.Duration // work saved, by task
 }
 
 type loadJob struct {
