Refuse callers at once while the way to the store is closed

Change: reads go on in the background while the way is closed; callers wait for the first one only. A peer that did not answer is not asked for 1 s.

Ruled out: holding the call until the store is back. It would be answered in time more often, but the users do not want answers held back.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -81,6 +81,8 @@
 	mu    sync.Mutex
 	known []string
 	hint  lead.Holder
+	// mutedUntil is until when VMs that did not answer are not asked to write.
+	mutedUntil map[string]clock.Mono
 	// way is this VM's own way to the store.
 	way *way
 }
@@ -93,7 +95,7 @@
 
 // New returns a desk that refuses everything before SetRules.
 func New(cfg Config, clk clock.Clock, log *zap.Logger) *Desk {
-	return &Desk{cfg: cfg, clk: clk, log: log, way: newWay(cfg.Store, clk)}
+	return &Desk{cfg: cfg, clk: clk, log: log, way: newWay(cfg.Store, clk), mutedUntil: make(map[string]clock.Mono)}
 }
 
 // SetRules puts a version of the configuration in force.
--- a/entry/accept/way.go
+++ b/entry/accept/way.go
@@ -17,8 +17,8 @@
 	quietFor = 200 * time.Millisecond
 	// wayProbeTimeout is how long a read may take that shows that the way is open.
 	wayProbeTimeout = 400 * time.Millisecond
-	// closedFor is how long a way stays closed without another read.
-	closedFor = 150 * time.Millisecond
+	// readEvery is the pause between two reads while the way is closed.
+	readEvery = 150 * time.Millisecond
 )
 
 // way judges whether the store can be reached from this VM. A write that is sent
@@ -37,10 +37,11 @@
 	heard clock.Mono
 	// failed: the last write or read got no answer.
 	failed bool
-	// closedUntil is until when no read is tried; probe is closed once the read under
-	// way has ended.
-	closedUntil clock.Mono
-	probe       chan struct{}
+	// closed: no read was answered since the way became doubtful. Reads go on until
+	// one is.
+	closed bool
+	// probe is closed once the first read of a doubtful way has ended.
+	probe chan struct{}
 }
 
 func newWay(st store.Store, clk clock.Clock) *way { return &way{st: st, clk: clk} }
@@ -64,7 +65,7 @@
 func (w *way) note(answered bool) {
 	w.failed = !answered
 	if answered {
-		w.heard, w.closedUntil = w.clk.Now(), 0
+		w.heard, w.closed = w.clk.Now(), false
 	}
 }
 
@@ -73,30 +74,45 @@
 	return w.failed || w.under > 0 && now.Sub(w.heard) > quietFor
 }
 
-// open reports whether a write may be sent.
+// open reports whether a write may be sent. It waits for a read only when the way
+// has just become doubtful; callers on a way that is closed are refused at once.
 func (w *way) open(ctx context.Context) bool {
-	for {
-		w.mu.Lock()
-		now := w.clk.Now()
-		switch {
-		case !w.doubtful(now):
-			w.mu.Unlock()
-			return true
-		case now < w.closedUntil:
-			w.mu.Unlock()
-			return false
-		case w.probe == nil:
-			w.probe = make(chan struct{})
-			w.mu.Unlock()
-			return w.read()
-		}
-		probe := w.probe
+	w.mu.Lock()
+	if !w.doubtful(w.clk.Now()) {
 		w.mu.Unlock()
-		select {
-		case <-probe:
-		case <-ctx.Done():
-			return false
+		return true
+	}
+	if w.closed {
+		w.mu.Unlock()
+		return false
+	}
+	if w.probe == nil {
+		w.probe = make(chan struct{})
+		go w.watch(w.probe)
+	}
+	probe := w.probe
+	w.mu.Unlock()
+	select {
+	case <-probe:
+	case <-ctx.Done():
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !w.closed
+}
+
+// watch reads until the store answers. It closes first after the first read.
+func (w *way) watch(first chan struct{}) {
+	for !w.read() {
+		if first != nil {
+			close(first)
+			first = nil
 		}
+		<-w.clk.After(readEvery)
+	}
+	if first != nil {
+		close(first)
 	}
 }
 
@@ -109,10 +125,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.note(answered)
-	if !answered {
-		w.closedUntil = w.clk.Now().Add(closedFor)
+	w.closed = !answered
+	if answered {
+		w.probe = nil
 	}
-	close(w.probe)
-	w.probe = nil
 	return answered
 }
--- a/entry/accept/write.go
+++ b/entry/accept/write.go
@@ -21,6 +21,8 @@
 	peerTimeout = 600 * time.Millisecond
 	// peerProbeTimeout is how long another VM may take to show that it answers.
 	peerProbeTimeout = 250 * time.Millisecond
+	// peerMuteFor is how long one that did not answer is not asked again.
+	peerMuteFor = time.Second
 )
 
 // create stores a key unless it exists already: over this VM's own way to the
@@ -105,13 +107,25 @@
 }
 
 // peerAnswers reports whether another VM answers now, so that a write is not sent
-// on a way that is cut.
+// on a way that is cut. One that did not a moment ago is not asked again.
 func (d *Desk) peerAnswers(ctx context.Context, addr string) bool {
+	d.mu.Lock()
+	muted := d.clk.Now() < d.mutedUntil[addr]
+	d.mu.Unlock()
+	if muted {
+		return false
+	}
 	call, cancel := context.WithTimeout(ctx, peerProbeTimeout)
 	defer cancel()
 	g := engine.Greeting{From: d.cfg.Self, StoreAge: d.cfg.StoreAge(), CPUMilli: d.cfg.CPUMilli}
 	_, err := d.cfg.Remote.Hello(call, addr, g)
-	return err == nil || rcode.Of(err) == rcode.NotOwner
+	if err == nil || rcode.Of(err) == rcode.NotOwner {
+		return true
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.mutedUntil[addr] = d.clk.Now().Add(peerMuteFor)
+	return false
 }
 
 // exists reports whether a job is stored.
