Take over soon after an outage from an owner that is out of reach

Change: an owner that does not answer, whose record was last renewed longer than TakeAfter ago, has 0.7 s to renew it after the store's return.

Test: entry/lead TestTakeover ("an outage, owner out of reach"), which fails before; two more rows hold that an owner that answers, or whose authority may last, is left alone.

--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -50,7 +50,10 @@
 	// refusedAfter is how long an unchanged record is waited for when nothing listens
 	// at the owner's address: one renewal that did not come.
 	refusedAfter = 500 * time.Millisecond
-	probeTimeout = 300 * time.Millisecond
+	// regainedAfter is how long after an outage of the store an owner that does not
+	// answer has time to renew, when its authority had ended before.
+	regainedAfter = 700 * time.Millisecond
+	probeTimeout  = 300 * time.Millisecond
 
 	renewEvery = 400 * time.Millisecond
 	// retryEvery is the pause after a renewal that did not succeed.
@@ -137,15 +140,17 @@
 	clk clock.Clock
 	log *zap.Logger
 
-	mu       sync.Mutex
-	rec      record
-	rev      int64
-	seenAt   clock.Mono // when rev was first seen here
-	contact  clock.Mono // last answer of the store
-	term     Term
-	owner    bool
-	renewed  clock.Mono // before the last successful renewal was sent
-	released bool
+	mu     sync.Mutex
+	rec    record
+	rev    int64
+	seenAt clock.Mono // when rev was first seen here, without a break in contact since
+	// changedAt is when rev was first seen here, whatever came between.
+	changedAt clock.Mono
+	contact   clock.Mono // last answer of the store
+	term      Term
+	owner     bool
+	renewed   clock.Mono // before the last successful renewal was sent
+	released  bool
 	// offeredBy is the address of the holder that asked this VM to take over.
 	offeredBy string
 	// patience is how long the next call may take; used by Run alone.
@@ -247,7 +252,7 @@
 	}
 	k.mu.Lock()
 	now := k.clk.Now()
-	holder, unchanged := k.rec.Holder, now.Sub(k.seenAt)
+	holder, unchanged, renewed := k.rec.Holder, now.Sub(k.seenAt), now.Sub(k.changedAt)
 	able := !k.released && !k.owner && now >= k.backAt && k.contact != 0 && now.Sub(k.contact) <= contactGap
 	free := k.rev == 0 || k.rec.Released
 	offered := k.offeredBy != "" && k.offeredBy == holder.Addr
@@ -272,7 +277,9 @@
 		return true
 	case EvidenceRefused:
 		return unchanged >= refusedAfter+k.delay()
-	case EvidenceAlive, EvidenceNone:
+	case EvidenceNone:
+		return renewed >= TakeAfter && unchanged >= regainedAfter+k.delay()
+	case EvidenceAlive:
 		return false
 	default:
 		return false
--- a/entry/lead/lead_test.go
+++ b/entry/lead/lead_test.go
@@ -114,15 +114,22 @@
 		dead bool
 		want []int
 	}{
-		"the first takes":             {do: func(*pair) {}, want: []int{0}},
-		"an owner that lives keeps":   {do: func(p *pair) { p.run(10*time.Second, 0, 1) }, want: []int{0}},
-		"a dead owner is replaced":    {do: func(p *pair) { p.run(TakeAfter+time.Second, 1) }, want: []int{1}},
-		"not before its time":         {do: func(p *pair) { p.run(AuthorityFor-200*time.Millisecond, 1) }, want: []int{0}},
-		"an outage changes no owner":  {do: outage, want: []int{0}},
-		"a lost reply loses nothing":  {do: lostReplies, want: []int{0}},
-		"released, taken at once":     {do: func(p *pair) { p.giveBack(); p.run(200*time.Millisecond, 1) }, want: []int{1}},
-		"another incarnation answers": {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceReplaced; p.run(time.Second, 1) }, want: []int{1}},
-		"nothing listens":             {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceRefused; p.run(refusedAfter+300*time.Millisecond, 1) }, want: []int{1}},
+		"the first takes":               {do: func(*pair) {}, want: []int{0}},
+		"an owner that lives keeps":     {do: func(p *pair) { p.run(10*time.Second, 0, 1) }, want: []int{0}},
+		"a dead owner is replaced":      {do: func(p *pair) { p.run(TakeAfter+time.Second, 1) }, want: []int{1}},
+		"not before its time":           {do: func(p *pair) { p.run(AuthorityFor-200*time.Millisecond, 1) }, want: []int{0}},
+		"an outage changes no owner":    {do: outage, want: []int{0}},
+		"a lost reply loses nothing":    {do: lostReplies, want: []int{0}},
+		"an outage, owner out of reach": {do: func(p *pair) { outageOf(p, 5*time.Second, 1); p.run(regainedAfter+500*time.Millisecond, 1) }, want: []int{1}},
+		"an outage, owner answers": {do: func(p *pair) {
+			p.probes[1].found = EvidenceAlive
+			outageOf(p, 5*time.Second, 1)
+			p.run(TakeAfter-200*time.Millisecond, 1)
+		}},
+		"an outage within the last authority": {do: func(p *pair) { outageOf(p, 500*time.Millisecond, 1); p.run(500*time.Millisecond, 1) }, want: []int{0}},
+		"released, taken at once":             {do: func(p *pair) { p.giveBack(); p.run(200*time.Millisecond, 1) }, want: []int{1}},
+		"another incarnation answers":         {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceReplaced; p.run(time.Second, 1) }, want: []int{1}},
+		"nothing listens":                     {dead: true, do: func(p *pair) { p.probes[1].found = EvidenceRefused; p.run(refusedAfter+300*time.Millisecond, 1) }, want: []int{1}},
 		"its own former process": {dead: true, do: func(p *pair) {
 			p.k[1] = New(Config{Store: p.ways[1], Self: Holder{VM: "vm0", Name: "vm0-b", Addr: "a0"}}, p.clk, zap.NewNop())
 			p.run(200*time.Millisecond, 1)
@@ -174,6 +181,15 @@
 	p.k[0].giveBack(context.Background())
 }
 
+// outageOf has the store answer nobody for d, while the keepers given run.
+func outageOf(p *pair, d time.Duration, alive ...int) {
+	p.ways[0].set(true, false)
+	p.ways[1].set(true, false)
+	p.run(d, alive...)
+	p.ways[0].set(false, false)
+	p.ways[1].set(false, false)
+}
+
 func outage(p *pair) {
 	p.ways[0].set(true, false)
 	p.ways[1].set(true, false)
--- a/entry/lead/record.go
+++ b/entry/lead/record.go
@@ -60,6 +60,9 @@
 	if k.contact == 0 || sent.Sub(k.contact) > contactGap || kv.ModRevision() != k.rev {
 		k.seenAt = k.clk.Now()
 	}
+	if kv.ModRevision() != k.rev {
+		k.changedAt = k.clk.Now()
+	}
 	if rec.Holder != k.rec.Holder || rec.Epoch != k.rec.Epoch {
 		k.log.Info("owner seen", zap.String("owner", rec.Holder.Name), zap.Int64("epoch", rec.Epoch))
 		k.signal()
