Reckon with the whole time of a run before its objective

Change: a job counts as missed when 0.9 of its expected run and 50 ms for the order and the report do not fit any more; it then waits behind those that can still be in time.

Test: entry/sched TestUrgentFlood, which fails with the former figures.

--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -28,9 +28,14 @@
 	classLate
 )
 
-// missedShare is the part of the declared run time that has to fit before the
-// objective: declared times are far off in both directions.
-const missedShare = 0.7
+const (
+	// missedShare is the part of the expected run time that has to fit before the
+	// objective: declared times are far off in both directions.
+	missedShare = 0.9
+	// startOverhead is the time beside the run itself that has to fit: the journal,
+	// the order and the report of the end.
+	startOverhead = 50 * time.Millisecond
+)
 
 func (s *State) rankOf(st *step) rank {
 	j := st.job
@@ -40,7 +45,7 @@
 		r.class = classLate
 	case j.over:
 		r.class = classOverRate
-	case s.now.Add(time.Duration(missedShare*float64(st.tailMS))*time.Millisecond) > j.objective && !st.spec.Service:
+	case s.now.Add(startOverhead+time.Duration(missedShare*float64(st.tailMS))*time.Millisecond) > j.objective && !st.spec.Service:
 		r.class = classMissed
 	}
 	return r
--- a/entry/sched/load_days_test.go
+++ b/entry/sched/load_days_test.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"fmt"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,17 +20,17 @@
 		{
 			queue:     rules.Queue{Name: "render", Service: "svc", Priority: 1, MaxAttempts: 3, Stretch: 2.2, TargetMS: 1000, Advice: advice(450, 6.5)},
 			perSecond: 4.11 * scale, steps: amountOf{1.2, 0.4, 3}, width: amountOf{20, 0.8, 120}, cpu: amountOf{9000, 0.4, 15000},
-			memory: amountOf{33000, 0.5, 65000}, workMS: amountOf{5000, 0.5, 12000}, gang: 1, saves: 0.5, good: 0.35, worth: 13.6,
+			memory: amountOf{33000, 0.5, 65000}, workMS: amountOf{5000, 0.5, 12000}, gang: 1, saves: 0.5, good: 0.35, worth: 13.6, estOff: 0.9,
 		},
 		{
 			queue:     rules.Queue{Name: "proofs", Service: "svc", Priority: 2, MaxAttempts: 4, Stretch: 4, TargetMS: 3000, Advice: advice(100, 1.4)},
 			perSecond: 8.97 * scale, steps: amountOf{1.5, 0.4, 3.8}, width: amountOf{25, 0.8, 150}, cpu: amountOf{3300, 0.45, 9900},
-			memory: amountOf{9400, 0.6, 28000}, workMS: amountOf{2700, 0.5, 6800}, saves: 0.8, fails: 0.05, good: 0.45, worth: 3.9,
+			memory: amountOf{9400, 0.6, 28000}, workMS: amountOf{2700, 0.5, 6800}, saves: 0.8, fails: 0.05, good: 0.45, worth: 3.9, estOff: 0.9,
 		},
 		{
 			queue:     rules.Queue{Name: "thumbs", Service: "svc", Priority: 0, MaxAttempts: 3, Stretch: 1.5, TargetMS: 300, Advice: advice(7.2, 0.1)},
 			perSecond: 90 * scale, steps: amountOf{1, 0, 2.5}, width: amountOf{3.2, 0.8, 19}, cpu: amountOf{4700, 0.45, 14000},
-			memory: amountOf{9600, 0.6, 29000}, workMS: amountOf{640, 0.5, 1600}, gang: 0.3, good: 0.7, worth: 0.391,
+			memory: amountOf{9600, 0.6, 29000}, workMS: amountOf{640, 0.5, 1600}, gang: 0.3, good: 0.7, worth: 0.391, estOff: 0.2,
 		},
 	}
 }
@@ -78,6 +80,8 @@
 		"large, gangs burst":  {workers: 350, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(1.1), 0, 2)},
 		"small, calm":         {workers: 48, vms: 9, length: 40 * time.Second, kinds: smallKinds(1.1)},
 		"small, gangs burst":  {workers: 48, vms: 9, length: 40 * time.Second, kinds: burst(smallKinds(1.1), 0, 2)},
+		"large, urgent flood": {workers: 230, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(0.9), 2, 6)},
+		"small, urgent flood": {workers: 40, vms: 7, length: 30 * time.Second, kinds: burst(smallKinds(1.1), 2, 6)},
 		"large, urgent burst": {workers: 350, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(1.1), 2, 2)},
 	}
 }
@@ -102,3 +106,29 @@
 		})
 	}
 }
+
+// TestUrgentFlood guards against urgent jobs that are all started at the last moment
+// and end just too late, when more come than the workers can do.
+func TestUrgentFlood(t *testing.T) {
+	t.Parallel()
+	// former is what urgent jobs got on these seeds while a run was expected to take
+	// 0.7 of its declared time and nothing beside it.
+	const former = 0.935
+	d := loadDays()["small, urgent flood"]
+	var mu sync.Mutex
+	sum, seeds := 0.0, 6
+	t.Run("seeds", func(t *testing.T) {
+		for seed := uint64(1); seed <= uint64(seeds); seed++ {
+			t.Run(fmt.Sprint(seed), func(t *testing.T) {
+				t.Parallel()
+				_, byKind, _ := newLoad(t, seed, d.workers, d.vms, d.kinds).run(d.length)
+				mu.Lock()
+				defer mu.Unlock()
+				sum += byKind[2]
+			})
+		}
+	})
+	if mean := sum / float64(seeds); mean <= former {
+		t.Errorf("seeds 1 to %d: urgent jobs get %.3f of their worth, want over %.3f", seeds, mean, former)
+	}
+}
--- a/entry/sched/load_test.go
+++ b/entry/sched/load_test.go
@@ -48,6 +48,7 @@
 	gang, saves, fails  float64 // shares of the steps, and of the runs
 	good                float64 // share of the workers that a step may use
 	worth               float64
+	estOff              float64 // how far off the declared run time is, as a share
 	// burst multiplies the rate between burstFrom and burstTo.
 	burst              float64
 	burstFrom, burstTo time.Duration
@@ -186,7 +187,7 @@
 		work := time.Duration(k.workMS.draw(l.rng)) * time.Millisecond
 		st := graph.Step{
 			Count: max(1, int(k.width.draw(l.rng))), CPUMilli: int64(k.cpu.draw(l.rng)), MemoryMiB: int64(k.memory.draw(l.rng)),
-			EstimateMS: int64(float64(work.Milliseconds()) * (0.5 + l.rng.Float64())), Gang: l.rng.Float64() < k.gang, Checkpointing: l.rng.Float64() < k.saves,
+			EstimateMS: int64(float64(work.Milliseconds()) * (1 + k.estOff*(2*l.rng.Float64()-1))), Gang: l.rng.Float64() < k.gang, Checkpointing: l.rng.Float64() < k.saves,
 		}
 		if i > 0 {
 			st.After = []int{i - 1}
@@ -327,7 +328,7 @@
 				if at >= k.burstFrom && at < k.burstTo {
 					rate *= k.burst
 				}
-				if l.rng.Float64() < rate*loadStep.Seconds() {
+				for due := rate * loadStep.Seconds(); due > l.rng.Float64(); due-- {
 					l.submit(i)
 				}
 			}
