Offer no ownership right after an outage of the store

In the bad runs the owner offered ownership at second 22.24, when the store had just come back for all and another VM had heard from it first; a VM of 0.19 of a core took it, needed 5.2 s to begin its term and left ownership again 2 s later.

Ruled out: the load (the same in both), the choice of the first owner (both kinds began with a VM of 0.8 of a core).

Change: an owner offers ownership when the store has answered other VMs for 1.3 s without a break, which is longer than a call of its own may hang.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -131,6 +131,7 @@
 	begunAt   clock.Mono // when the state was loaded
 	loadAt    clock.Mono // when the load was logged last
 	offeredAt clock.Mono // when another VM was asked to take over
+	storeSeen series     // of other VMs that the store answers
 }
 
 // New returns an engine that does nothing before Run.
--- a/entry/engine/hello.go
+++ b/entry/engine/hello.go
@@ -39,10 +39,35 @@
 	// answered that VM.
 	yieldAfter = 600 * time.Millisecond
 	yieldFresh = 500 * time.Millisecond
+	// yieldSteady is for how long the store must have answered other VMs without a
+	// break: after an outage the owner gets an answer as soon as they do, but for a
+	// call that was sent before and is given up only now.
+	yieldSteady = 1300 * time.Millisecond
+	// steadyGap is the longest time between two greetings of one series.
+	steadyGap = 700 * time.Millisecond
 	// offerAgain is how long the VM that ownership was offered to has time to take it.
 	offerAgain = 800 * time.Millisecond
 )
 
+// series is an unbroken time in which other VMs said that the store answers them.
+type series struct{ since, last clock.Mono }
+
+// note takes in a greeting of a VM that the store answered storeAge ago.
+func (s *series) note(now clock.Mono, storeAge time.Duration) {
+	if storeAge >= yieldFresh {
+		return
+	}
+	if s.since == 0 || now.Sub(s.last) > steadyGap {
+		s.since = now
+	}
+	s.last = now
+}
+
+// steady reports whether the series has lasted long enough to be evidence.
+func (s *series) steady(now clock.Mono) bool {
+	return s.since != 0 && now.Sub(s.last) <= steadyGap && now.Sub(s.since) >= yieldSteady
+}
+
 // Hello notes that another VM is there.
 func (e *Engine) Hello(ctx context.Context, g Greeting) (Welcome, error) {
 	var out Welcome
@@ -83,7 +108,11 @@
 // answers it and not the owner.
 func (e *Engine) offers(t *term, g Greeting) bool {
 	now := e.clk.Now()
-	if g.From.Name == e.cfg.Self.Name || g.StoreAge >= yieldFresh || now.Sub(t.offeredAt) < offerAgain {
+	if g.From.Name == e.cfg.Self.Name {
+		return false
+	}
+	t.storeSeen.note(now, g.StoreAge)
+	if !t.storeSeen.steady(now) || g.StoreAge >= yieldFresh || now.Sub(t.offeredAt) < offerAgain {
 		return false
 	}
 	if e.cfg.StoreAge() <= yieldAfter || !e.cfg.Keeper.Overdue(yieldAfter) ||
