--- a/entry/lead/record.go
+++ b/entry/lead/record.go
@@ -41,33 +41,26 @@
 // look reads the record.
 func (k *Keeper) look(ctx context.Context) {
 	sent := k.clk.Now()
-	kv, err := k.get(ctx)
-	if err != nil && rcode.Of(err) != rcode.NotFound {
+	rec, rev, ok := k.read(ctx)
+	if !ok {
 		return
 	}
-	var rec record
-	if err == nil {
-		if jerr := json.Unmarshal(kv.Value(), &rec); jerr != nil {
-			k.log.Error("owner record unreadable, treated as released", zap.Error(jerr))
-			rec = record{Released: true}
-		}
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.owner {
 		return
 	}
-	if k.contact == 0 || sent.Sub(k.contact) > contactGap || kv.ModRevision() != k.rev {
+	if k.contact == 0 || sent.Sub(k.contact) > contactGap || rev != k.rev {
 		k.seenAt = k.clk.Now()
 	}
-	if kv.ModRevision() != k.rev {
+	if rev != k.rev {
 		k.changedAt = k.clk.Now()
 	}
 	if rec.Holder != k.rec.Holder || rec.Epoch != k.rec.Epoch {
 		k.log.Info("owner seen", zap.String("owner", rec.Holder.Name), zap.Int64("epoch", rec.Epoch))
 		k.signal()
 	}
-	k.contact, k.rec, k.rev = k.clk.Now(), rec, kv.ModRevision()
+	k.contact, k.rec, k.rev = k.clk.Now(), rec, rev
 }
 
 func (k *Keeper) signal() {
@@ -96,30 +89,41 @@
 	return false
 }
 
+// read returns the record and its revision, 0 where there is none; ok is false when
+// the store did not answer.
+func (k *Keeper) read(ctx context.Context) (rec record, rev int64, ok bool) {
+	kv, err := k.get(ctx)
+	switch {
+	case rcode.Of(err) == rcode.NotFound:
+		return record{}, 0, true
+	case err != nil:
+		return record{}, 0, false
+	}
+	if err := json.Unmarshal(kv.Value(), &rec); err != nil {
+		k.log.Error("owner record unreadable, treated as released", zap.Error(err))
+		rec = record{Released: true}
+	}
+	return rec, kv.ModRevision(), true
+}
+
 // verify reads the record after a renewal that did not succeed: it may have
 // taken effect with its reply lost, or another VM may be the owner.
 func (k *Keeper) verify(ctx context.Context, sentRec record, sent clock.Mono) {
-	kv, err := k.get(ctx)
-	if err != nil && rcode.Of(err) != rcode.NotFound {
+	rec, rev, ok := k.read(ctx)
+	if !ok {
 		return
 	}
-	var rec record
-	if err == nil {
-		if jerr := json.Unmarshal(kv.Value(), &rec); jerr != nil {
-			k.log.Error("owner record unreadable", zap.Error(jerr))
-		}
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	switch {
 	case rec == sentRec:
-		k.rec, k.rev, k.renewed = rec, kv.ModRevision(), sent
+		k.rec, k.rev, k.renewed = rec, rev, sent
 	case rec.Holder == k.cfg.Self && rec.Epoch == k.term.epoch && !rec.Released:
 		// An earlier renewal, or one of this term that arrived late.
-		k.rec, k.rev = rec, kv.ModRevision()
+		k.rec, k.rev = rec, rev
 	default:
-		k.owner, k.rec, k.rev = false, rec, kv.ModRevision()
-		k.seenAt, k.contact = k.clk.Now(), k.clk.Now()
+		k.owner, k.rec, k.rev = false, rec, rev
+		k.seenAt, k.changedAt, k.contact = k.clk.Now(), k.clk.Now(), k.clk.Now()
 		k.log.Warn("ownership lost", zap.String("owner", rec.Holder.Name), zap.Int64("epoch", rec.Epoch))
 		k.signal()
 	}
--- a/entry/lead/release.go
+++ b/entry/lead/release.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 
 	"go.uber.org/zap"
 )
@@ -61,16 +60,15 @@
 			k.log.Info("ownership given back", zap.Int64("epoch", next.Epoch))
 			return
 		}
-		kv, err := k.get(ctx)
-		if err != nil {
+		rec, at, ok := k.read(ctx)
+		if !ok {
 			continue
 		}
-		var rec record
-		if json.Unmarshal(kv.Value(), &rec) != nil || rec.Holder != next.Holder || rec.Epoch != next.Epoch || rec.Released {
+		if rec.Holder != next.Holder || rec.Epoch != next.Epoch || rec.Released {
 			return
 		}
 		k.mu.Lock()
-		k.rec, k.rev = rec, kv.ModRevision()
+		k.rec, k.rev = rec, at
 		k.mu.Unlock()
 	}
 }
@@ -80,7 +78,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.owner && k.term.epoch == epoch {
-		k.owner, k.seenAt, k.contact = false, 0, 0
+		k.owner, k.seenAt, k.changedAt, k.contact = false, 0, k.clk.Now(), 0
 		k.log.Warn("ownership lost", zap.Int64("epoch", epoch))
 		k.signal()
 	}
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -119,12 +119,21 @@
 	}
 }
 
+// takesWork reports whether a worker may get new work, whatever it is.
+func (s *State) takesWork(w *worker) bool {
+	if !w.answers() || w.spec.Draining || s.out[w.spec.DataCentre] {
+		return false
+	}
+	return s.now >= w.suspectUntil && s.emptying[w.spec.ID] == 0
+}
+
+// answers reports whether what a worker runs is known by its own word.
+func (w *worker) answers() bool { return w.listed && w.fresh && !w.silent }
+
 // usable reports whether new tasks of a step may start on a worker at all.
 func (s *State) usable(w *worker, st *step) bool {
 	switch {
-	case !w.listed, !w.fresh, w.silent, w.spec.Draining, w.strays > 0:
-		return false
-	case s.out[w.spec.DataCentre], s.now < w.suspectUntil, s.emptying[w.spec.ID] != 0:
+	case !s.takesWork(w), w.strays > 0:
 		return false
 	case st.job.queue.Service != "" && w.spec.Service != st.job.queue.Service:
 		return false
--- a/entry/sched/leave.go
+++ b/entry/sched/leave.go
@@ -19,7 +19,7 @@
 // a worker whose own list was not read.
 func (s *State) Runs(workerID string) (runs int, known bool) {
 	w := s.workers[workerID]
-	if w == nil || !w.listed || !w.fresh || w.silent {
+	if w == nil || !w.answers() {
 		return 0, false
 	}
 	return len(w.runs) + w.strays, true
--- a/entry/sched/load.go
+++ b/entry/sched/load.go
@@ -33,7 +33,7 @@
 	}
 	for _, w := range s.sorted {
 		l.Runs += len(w.runs)
-		if !w.listed || !w.fresh || w.silent || w.spec.Draining || s.out[w.spec.DataCentre] || s.now < w.suspectUntil {
+		if !s.takesWork(w) {
 			continue
 		}
 		l.Workers++
--- a/entry/sched/load_test.go
+++ b/entry/sched/load_test.go
@@ -374,17 +374,23 @@
 	return l.credit(length)
 }
 
+// credit is what a job earned.
+func (j *loadJob) credit() float64 {
+	switch took := j.done.Sub(j.at); {
+	case j.done == 0 || took > 3*j.objective:
+		return 0
+	case took > j.objective:
+		return j.worth / 5
+	default:
+		return j.worth
+	}
+}
+
 func (l *load) credit(length time.Duration) (whole float64, byKind []float64, used float64) {
 	owed, got := make([]float64, len(l.kinds)), make([]float64, len(l.kinds))
 	for _, j := range l.jobs {
 		owed[j.kind] += j.worth
-		switch took := j.done.Sub(j.at); {
-		case j.done == 0 || took > 3*j.objective:
-		case took > j.objective:
-			got[j.kind] += j.worth / 5
-		default:
-			got[j.kind] += j.worth
-		}
+		got[j.kind] += j.credit()
 	}
 	var sumOwed, sumGot float64
 	for i := range owed {
@@ -414,13 +420,7 @@
 			tier = 1
 		}
 		owed[tier] += j.worth
-		switch took := j.done.Sub(j.at); {
-		case j.done == 0 || took > 3*j.objective:
-		case took > j.objective:
-			got[tier] += j.worth / 5
-		default:
-			got[tier] += j.worth
-		}
+		got[tier] += j.credit()
 	}
 	for i := range got {
 		got[i] /= owed[i]
