--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -19,6 +19,10 @@
 		return
 	}
 	t.loadAt = now
+	for _, m := range t.state.TakeMisfits() {
+		e.log.Warn("step fits no worker", zap.String("step", m.Step), zap.String("queue", m.Queue), zap.String("team", m.Team),
+			zap.String("label", m.Label))
+	}
 	l := t.state.Load()
 	e.cfg.Metrics.Owner(true, l.Runs, l.Waiting)
 	e.log.Info("load", zap.Int64("epoch", t.Epoch()), zap.Int("waiting_0", l.Waiting[0]), zap.Int("waiting_1", l.Waiting[1]),
--- /dev/null
+++ b/entry/sched/misfit.go
@@ -0,0 +1,58 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// misfitAfter is how long a step waits before it is looked at whether any worker
+// could ever run it.
+const misfitAfter = 2 * time.Second
+
+// Misfit is a step that no worker on the platform's list could run, however empty.
+type Misfit struct {
+	Step, Queue, Team string
+	// Label is one that no worker of the queue's service has; empty when the size of
+	// the tasks is the reason.
+	Label string
+}
+
+// TakeMisfits returns the waiting steps that fit no worker, each of them once. They
+// wait on: a worker that fits may join.
+func (s *State) TakeMisfits() []Misfit {
+	var out []Misfit
+	for _, st := range s.waiting {
+		if st.misfitSeen || s.now.Sub(st.since) < misfitAfter {
+			continue
+		}
+		st.misfitSeen = true
+		fits, labelled := s.couldRun(st)
+		if fits {
+			continue
+		}
+		m := Misfit{Step: st.tasks[0].id().StepName(), Queue: st.job.doc.Queue, Team: st.job.doc.Team}
+		if !labelled {
+			m.Label = st.spec.Label
+		}
+		out = append(out, m)
+	}
+	return out
+}
+
+// couldRun reports whether a listed worker could run a task of a step if it were
+// empty, and whether one has the step's label.
+func (s *State) couldRun(st *step) (fits, labelled bool) {
+	for _, w := range s.sorted {
+		if !w.listed || st.job.queue.Service != "" && w.spec.Service != st.job.queue.Service {
+			continue
+		}
+		if st.spec.Label != "" && !slices.Contains(w.spec.Labels, st.spec.Label) {
+			continue
+		}
+		labelled = true
+		if st.size.Fits(w.spec.Capacity) {
+			return true, true
+		}
+	}
+	return false, labelled
+}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -176,6 +176,8 @@
 	// since is when it became ready.
 	since  clock.Mono
 	queued bool
+	// misfitSeen: it was looked at whether any worker could run the step.
+	misfitSeen bool
 	// liveRuns counts runs that have not ended, with earlier attempts.
 	liveRuns runSet
 	attempt  int // highest attempt of a gang
