Keep a part of an account's limit for its urgent jobs

Ruled out: room on the workers, and the advising service (both would have delayed all accounts).

Change: while an account sends urgent jobs, other work leaves free what they used at most in the last 10 s, up to 15% of the limit, for its first 3 s of waiting.

--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -214,8 +214,7 @@
 	if s.asking(st) && len(st.adv.tickets) == 0 {
 		return
 	}
-	tm := s.team(st.job.doc.Team)
-	if !tm.fitsLimit(st.spec.Declared()) {
+	if !s.withinLimit(st, st.spec.Declared()) {
 		return
 	}
 	fits := s.fitsOf(st, st.open, func(w *worker) bool { return s.ticketed(st, w) })
@@ -230,7 +229,7 @@
 		if t.avoid == fits[at].w && len(fits) > at+1 {
 			fits[at], fits[at+1] = fits[at+1], fits[at]
 		}
-		if !tm.fitsLimit(st.spec.Declared()) {
+		if !s.withinLimit(st, st.spec.Declared()) {
 			return
 		}
 		s.start(t, fits[at].w, t.attempt+1)
@@ -250,8 +249,7 @@
 		return true
 	}
 	need := st.left
-	tm := s.team(st.job.doc.Team)
-	if !tm.fitsLimit(scale(st.spec.Declared(), need)) {
+	if !s.withinLimit(st, scale(st.spec.Declared(), need)) {
 		return true
 	}
 	s.releaseHeld(st)
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -34,6 +34,9 @@
 	w.used = w.used.Add(r.size)
 	tm := s.team(st.job.doc.Team)
 	tm.used = tm.used.Add(r.charged)
+	if st.job.queue.Priority == urgentPriority {
+		tm.urgent.add(r.charged, s.now)
+	}
 	if !st.job.begun && !s.replaying {
 		st.job.begunAt = s.now // a replay does not tell when it was
 	}
@@ -55,6 +58,9 @@
 	w.used = w.used.Sub(r.size)
 	tm := s.team(st.job.doc.Team)
 	tm.used = tm.used.Sub(r.charged)
+	if st.job.queue.Priority == urgentPriority {
+		tm.urgent.sub(r.charged)
+	}
 	st.liveRuns.remove(r)
 	if t.run == r {
 		t.run = nil
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -215,7 +215,9 @@
 	name  string
 	used  amount.Vec
 	limit amount.Vec
-	rate  float64
+	// urgent is the part of used by urgent jobs, and the most of it lately.
+	urgent urgency
+	rate   float64
 	// credit is a token bucket of jobs within the account's rate.
 	credit   float64
 	creditAt clock.Mono
