Store a wave's deadline, and judge a run's speed from where it resumed

A wave kept how long it may take; it now keeps when it is due, from when it was first seen, also when the operators' keys are listed again. The end of a run that resumes from a checkpoint was reckoned as if it had begun at 0.

--- a/entry/engine/upkeep.go
+++ b/entry/engine/upkeep.go
@@ -95,7 +95,7 @@
 	m := &t.maintenance
 	now, wall := e.clk.Now(), e.clk.Wall().UnixMilli()
 	for number, w := range e.waves {
-		m.plan.PutWave(w, now.Add(time.Duration(w.SpanMS())*time.Millisecond), wall+w.SpanMS())
+		m.plan.PutWave(w, wall+w.Due().Sub(now).Milliseconds())
 		if r, ok := m.records[number]; ok {
 			m.plan.Restore(r, now.Add(time.Duration(r.DueUnixMS-wall)*time.Millisecond))
 			delete(m.records, number)
--- a/entry/engine/upkeep_test.go
+++ b/entry/engine/upkeep_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"limpethitch.example/core/clock"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/upkeep"
 )
@@ -57,7 +58,7 @@
 		fl.st = cfg.Store
 		cfg.Fleet = fl
 	})
-	r.engine.SetWaves(map[int64]upkeep.Wave{5: upkeep.NewWave(5, []string{"m0"}, 1000, 1)})
+	r.engine.SetWaves(map[int64]upkeep.Wave{5: upkeep.NewWave(5, []string{"m0"}, clock.New().Now(), 1)})
 	status := func() string {
 		kv, err := r.st.Get(r.ctx, "status/5")
 		if err != nil {
--- a/entry/sched/leave.go
+++ b/entry/sched/leave.go
@@ -71,7 +71,7 @@
 func (s *State) losesMost(r *run, leaves clock.Mono) bool {
 	st := r.task.step
 	if st.spec.Service {
-		// The platform bounds nothing for tasks on a worker that drains.
+		// Stops on a worker that drains do not count against MaxUnavailable.
 		return true
 	}
 	if s.endsAt(r) <= leaves {
@@ -87,9 +87,9 @@
 // take.
 func (s *State) endsAt(r *run) clock.Mono {
 	st := r.task.step
-	if r.percent >= paceKnownFrom && r.listedAt > r.confirmedAt {
-		took := r.listedAt.Sub(r.confirmedAt)
-		return r.confirmedAt.Add(took * complete / time.Duration(r.percent))
+	if moved := r.percent - r.firstPercent; moved >= paceKnownFrom {
+		took := r.listedAt.Sub(r.firstAt)
+		return r.listedAt.Add(took * time.Duration(complete-r.percent) / time.Duration(moved))
 	}
 	from := r.confirmedAt
 	if !r.confirmed {
--- a/entry/sched/leave_test.go
+++ b/entry/sched/leave_test.go
@@ -37,6 +37,7 @@
 	t.Parallel()
 	tests := map[string]struct {
 		step    graph.Step
+		resumed int           // percent at its start
 		percent int           // after one second of work
 		left    time.Duration // that the worker has then
 		at      time.Duration // after the start
@@ -45,6 +46,7 @@
 		"ends before":            {step: graph.Step{Count: 1, Checkpointing: true}, percent: 50, left: 2 * time.Second, at: 2500 * time.Millisecond},
 		"cannot end, saves late": {step: graph.Step{Count: 1, Checkpointing: true}, percent: 10, left: 3 * time.Second, at: 1500 * time.Millisecond},
 		"saved in time":          {step: graph.Step{Count: 1, Checkpointing: true}, percent: 10, left: 3 * time.Second, at: 3200 * time.Millisecond, want: 1},
+		"resumed, cannot end":    {step: graph.Step{Count: 1}, resumed: 50, percent: 60, left: 3 * time.Second, at: 1100 * time.Millisecond, want: 1},
 		"cannot save":            {step: graph.Step{Count: 1}, percent: 10, left: 3 * time.Second, at: 1100 * time.Millisecond, want: 1},
 		"service task":           {step: graph.Step{Count: 1, Service: true}, percent: 100, left: 9 * time.Second, at: 1100 * time.Millisecond, want: 1},
 	}
@@ -55,6 +57,7 @@
 			tt.step.CPUMilli, tt.step.EstimateMS = 1000, 5000
 			s.AddJob(newJob(tt.step))
 			startAll(s, testNow)
+			s.Observe(Report{Worker: "w0", BornUnixMS: 1, SentAt: testNow, Running: []Running{{Task: taskID(0, 0), Attempt: 1, Percent: tt.resumed}}})
 			seen := testNow.Add(time.Second)
 			s.SetNow(seen, 11_000)
 			s.Observe(Report{Worker: "w0", BornUnixMS: 1, SentAt: seen, Running: []Running{{Task: taskID(0, 0), Attempt: 1, Percent: tt.percent}}})
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -111,6 +111,9 @@
 	}
 	r.recovered, r.listedBorn = false, r.worker.spec.BornUnixMS
 	r.tail, r.listedAt = item.Load, s.now
+	if r.firstAt == 0 {
+		r.firstPercent, r.firstAt = item.Percent, s.now
+	}
 	if item.Percent != r.percent {
 		r.percent, r.movedAt = item.Percent, s.now
 	}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -125,6 +125,10 @@
 	restingFrom clock.Mono
 
 	percent int
+	// firstPercent is its progress when it was first listed, at firstAt: a run that
+	// resumes does not begin at 0.
+	firstPercent int
+	firstAt      clock.Mono
 	// movedAt is when its progress last changed, listedAt when it was last listed.
 	movedAt, listedAt clock.Mono
 	tail              int64
--- a/entry/upkeep/plan.go
+++ b/entry/upkeep/plan.go
@@ -43,7 +43,6 @@
 
 type wave struct {
 	Wave
-	due       clock.Mono
 	dueUnixMS int64
 	vms       map[string]*progress
 	stored    bool // the record was handed out once
@@ -64,13 +63,13 @@
 	return &Plan{cfg: cfg, waves: make(map[int64]*wave), vms: make(map[string]VM)}
 }
 
-// PutWave adds a wave that is not known yet. due is on this VM's clock, dueUnixMS
-// the same in wall time, for the record.
-func (p *Plan) PutWave(w Wave, due clock.Mono, dueUnixMS int64) {
+// PutWave adds a wave that is not known yet. dueUnixMS is when it is due in wall
+// time, for the record.
+func (p *Plan) PutWave(w Wave, dueUnixMS int64) {
 	if p.waves[w.number] != nil {
 		return
 	}
-	nw := &wave{Wave: w, due: due, dueUnixMS: dueUnixMS, vms: make(map[string]*progress, len(w.vms))}
+	nw := &wave{Wave: w, dueUnixMS: dueUnixMS, vms: make(map[string]*progress, len(w.vms))}
 	for _, name := range w.vms {
 		nw.vms[name] = &progress{}
 	}
--- a/entry/upkeep/plan_test.go
+++ b/entry/upkeep/plan_test.go
@@ -139,7 +139,7 @@
 				lose = tt.lose
 			}
 			p := NewPlan(Config{Takes: testTakes})
-			p.PutWave(NewWave(1, names, tt.span.Milliseconds(), tt.atOnce), testStart.Add(tt.span), 0)
+			p.PutWave(NewWave(1, names, testStart.Add(tt.span), tt.atOnce), 0)
 			most, end := f.drive(t, p, names, lose)
 			if end == 0 || end > testStart.Add(tt.within) {
 				t.Errorf("complete at %v, want within %v", end.Sub(testStart), tt.within)
@@ -165,7 +165,7 @@
 	f.down["m1"] = testStart.Add(testTakes)
 	p := NewPlan(Config{Takes: testTakes})
 	due := testStart.Add(15 * time.Second)
-	p.PutWave(NewWave(7, names, 15_000, 1), due, 0)
+	p.PutWave(NewWave(7, names, due, 1), 0)
 	p.Restore(Record{Number: 7, Begun: []string{"m1"}, Done: []string{"m0"}}, due)
 	most, end := f.drive(t, p, names, func(string) bool { return false })
 	if most != 1 || end == 0 || end > due {
@@ -183,7 +183,7 @@
 	t.Parallel()
 	f, names := newFleet(1)
 	p := NewPlan(Config{Takes: testTakes})
-	p.PutWave(NewWave(1, names, 0, 1), testStart, 0)
+	p.PutWave(NewWave(1, names, testStart, 1), 0)
 	p.SetVMs(f.list(names, testStart), testStart)
 	p.Next(testStart, f.busy)
 	p.Unstored(1)
--- a/entry/upkeep/upkeep.go
+++ b/entry/upkeep/upkeep.go
@@ -3,8 +3,8 @@
 //
 // # Usage
 //
-//	p := upkeep.NewPlan(upkeep.Config{Takes: 2 * time.Second}, now)
-//	p.PutWave(upkeep.NewWave(1, vms, atOnce), due)
+//	p := upkeep.NewPlan(upkeep.Config{Takes: 2 * time.Second})
+//	p.PutWave(upkeep.NewWave(1, vms, due, atOnce), dueUnixMS)
 //	p.SetVMs(list, askedAt)
 //	steps := p.Next(now, runs) // to be carried out in order
 //	p.Accepted(vm, now)
@@ -18,6 +18,7 @@
 	"encoding/json"
 	"strconv"
 
+	"limpethitch.example/core/clock"
 	"limpethitch.example/core/rcode"
 )
 
@@ -54,21 +55,21 @@
 type Wave struct {
 	number int64
 	vms    []string
-	spanMS int64
+	due    clock.Mono
 	atOnce int
 }
 
-// NewWave returns a wave. spanMS is how long it may take, in milliseconds;
-// atOnce bounds the VMs that are down for it at a time.
-func NewWave(number int64, vms []string, spanMS int64, atOnce int) Wave {
-	return Wave{number: number, vms: vms, spanMS: spanMS, atOnce: max(1, atOnce)}
+// NewWave returns a wave that should be through by due; atOnce bounds the VMs that
+// are down for it at a time.
+func NewWave(number int64, vms []string, due clock.Mono, atOnce int) Wave {
+	return Wave{number: number, vms: vms, due: due, atOnce: max(1, atOnce)}
 }
 
 // Number returns the wave's number.
 func (w Wave) Number() int64 { return w.number }
 
-// SpanMS returns how long the wave may take, in milliseconds.
-func (w Wave) SpanMS() int64 { return w.spanMS }
+// Due returns by when the wave should be through.
+func (w Wave) Due() clock.Mono { return w.due }
 
 // Record is what is stored of a wave. The fields are exported because the type is
 // stored as JSON.
