Keep no part of an account's limit while half of it is unused

Work that could start with the account under half of its limit must not wait: the users allow 3 s for that. The kept part now counts from half of the limit on, and other work waits for it 1.5 s at most.

Test: entry/sched TestHeadroom (a gang, limit not in use).

--- a/entry/sched/headroom.go
+++ b/entry/sched/headroom.go
@@ -20,7 +20,9 @@
 	headroomFor = 10 * time.Second
 	// headroomPatience is how long other work waits for the kept part: work that needs
 	// nearly all of the limit would never start otherwise.
-	headroomPatience = 3 * time.Second
+	headroomPatience = 1500 * time.Millisecond
+	// headroomFrom is the part of the limit in use from which on a part is kept.
+	headroomFrom = 0.5
 )
 
 // urgency is what an account's urgent jobs use of its limit.
@@ -43,12 +45,16 @@
 
 // kept returns the part of the account's limit that other work leaves free now.
 func (t *team) kept(now clock.Mono) amount.Vec {
-	if now.Sub(t.urgent.mostAt) > headroomFor {
+	part := team{used: t.used, limit: share(t.limit, headroomFrom)}
+	if now.Sub(t.urgent.mostAt) > headroomFor || part.fitsLimit(amount.Vec{}) {
 		return amount.Vec{}
 	}
-	part := func(n int64) int64 { return int64(headroomShare * float64(n)) }
-	bound := amount.New(part(t.limit.CPUMilli()), part(t.limit.MemoryMiB()), part(t.limit.Accelerators()), 0)
-	return t.urgent.most.Sub(t.urgent.used).Positive().Min(bound)
+	return t.urgent.most.Sub(t.urgent.used).Positive().Min(share(t.limit, headroomShare))
+}
+
+func share(v amount.Vec, part float64) amount.Vec {
+	of := func(n int64) int64 { return int64(part * float64(n)) }
+	return amount.New(of(v.CPUMilli()), of(v.MemoryMiB()), of(v.Accelerators()), 0)
 }
 
 // withinLimit reports whether v more of a step may run for its account.
--- a/entry/sched/headroom_test.go
+++ b/entry/sched/headroom_test.go
@@ -22,11 +22,13 @@
 		// urgentAt is when an urgent job ran and ended, 0 is never.
 		urgentAt clock.Mono
 		width    int // tasks of 10 cores, sent at now
+		gang     bool
 		at       time.Duration
 		want     int // of them that run; the limit holds 4 and some
 	}{
 		"no urgent jobs":              {width: 6, want: 4},
 		"urgent jobs lately":          {urgentAt: now - clock.Mono(time.Second), width: 6, want: 3},
+		"a gang, limit not in use":    {urgentAt: now - clock.Mono(time.Second), width: 4, gang: true, want: 4},
 		"urgent jobs long ago":        {urgentAt: now - clock.Mono(11*time.Second), width: 6, want: 4},
 		"the rest once it has waited": {urgentAt: now - clock.Mono(time.Second), width: 6, at: headroomPatience, want: 4},
 	}
@@ -50,7 +52,7 @@
 				}
 			}
 			s.SetNow(now, 10_000)
-			s.AddJob(newJob(graph.Step{Count: tt.width, CPUMilli: 10_000, EstimateMS: 60_000}))
+			s.AddJob(newJob(graph.Step{Count: tt.width, Gang: tt.gang, CPUMilli: 10_000, EstimateMS: 60_000}))
 			s.Decide(now)
 			s.Decide(now.Add(tt.at))
 			if diff := cmp.Diff(tt.want, s.Running()); diff != "" {
