Report the load replay's figures by a benchmark, not by a skipped test

Cause: TestLoadFigures was skipped unless a variable was set, so it never checked anything, and bySize and the sums of calls for advice were read by it alone.

It has no bound; TestLoad and TestUrgentFlood hold theirs and are unchanged.

Change: BenchmarkLoad reports the worth, whole and of the gangs; what only the skipped test read is gone. No product code changes.

--- a/entry/sched/load_days_test.go
+++ b/entry/sched/load_days_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -45,21 +44,20 @@
 	return kinds
 }
 
-// TestLoadFigures prints the figures of all loads; it is for work on the decisions.
-func TestLoadFigures(t *testing.T) {
-	if os.Getenv("LIMPET_LOAD_FIGURES") == "" {
-		t.Skip("set LIMPET_LOAD_FIGURES to print the figures")
-	}
-	t.Parallel()
+// BenchmarkLoad plays all loads and reports what callers got of the jobs' worth, whole
+// and for the gangs; it is for work on the decisions.
+func BenchmarkLoad(b *testing.B) {
 	for name, d := range loadDays() {
-		for seed := uint64(1); seed <= 6; seed++ {
-			t.Run(name, func(t *testing.T) {
-				t.Parallel()
-				l := newLoad(t, seed, d.workers, d.vms, d.kinds)
-				whole, byKind, used := l.run(d.length)
-				t.Logf("%-22s seed %d: worth %.3f, by kind %.3f, used %.2f, thrown away %.0f core-seconds, asked %d ms of %d, gangs by size %.2f", name, seed, whole, byKind, used, l.wasted/1000, l.asked, int64(d.vms)*d.length.Milliseconds(), l.bySize(0))
-			})
-		}
+		b.Run(name, func(b *testing.B) {
+			whole, gangs := 0.0, 0.0
+			for i := range b.N {
+				all, byKind, _ := newLoad(b, uint64(i+1), d.workers, d.vms, d.kinds).run(d.length)
+				whole += all
+				gangs += byKind[0]
+			}
+			b.ReportMetric(whole/float64(b.N), "worth")
+			b.ReportMetric(gangs/float64(b.N), "gangs-worth")
+		})
 	}
 }
 
--- a/entry/sched/load_test.go
+++ b/entry/sched/load_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"cmp"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -85,7 +84,6 @@
 }
 
 type load struct {
-	t       *testing.T
 	rng     *rand.Rand
 	now     clock.Mono
 	state   *State
@@ -100,15 +98,13 @@
 	next    int
 	// cpu is the sum of milli-core-seconds in use, wasted those of work thrown away.
 	cpu, wasted float64
-	// asked is the time of the calls for advice, by kind, in milliseconds.
-	asked []int64
 }
 
-func newLoad(t *testing.T, seed uint64, workers, vms int, kinds []loadKind) *load {
+func newLoad(t testing.TB, seed uint64, workers, vms int, kinds []loadKind) *load {
 	t.Helper()
 	l := &load{
-		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: clock.Mono(time.Second), kinds: kinds, jobs: make(map[string]*loadJob),
-		ended: make(map[string][]Ended), numbers: make(map[string]int64), vms: make([]clock.Mono, vms), asked: make([]int64, len(kinds)),
+		rng: rand.New(rand.NewPCG(seed, 7)), now: clock.Mono(time.Second), kinds: kinds, jobs: make(map[string]*loadJob),
+		ended: make(map[string][]Ended), numbers: make(map[string]int64), vms: make([]clock.Mono, vms),
 	}
 	l.state = New(Config{StartWithin: 2 * time.Second, RecoveredLapse: 14 * time.Second, StopSlack: loadStopTime, Adviser: l.adviser})
 	l.state.SetNow(l.now, l.wall())
@@ -164,7 +160,6 @@
 func (l *load) ask(d Ask) {
 	id, _ := parseStep(d.Step)
 	good := l.jobs[id.Job].steps[id.Step].good
-	l.asked[l.jobs[id.Job].kind] += d.CostMS
 	var tickets []Ticket
 	for _, w := range d.Workers {
 		if allowedBy(d.Step, w, good) {
@@ -400,30 +395,3 @@
 	}
 	return sumGot / sumOwed, byKind, l.cpu / float64(len(l.workers)) / loadWorkerMS / length.Seconds()
 }
-
-// bySize returns the credit of the largest tenth of a kind, the fifth below it and
-// the rest.
-func (l *load) bySize(kind int) [3]float64 {
-	var list []*loadJob
-	for _, j := range l.jobs {
-		if j.kind == kind {
-			list = append(list, j)
-		}
-	}
-	slices.SortFunc(list, func(a, b *loadJob) int { return cmp.Compare(b.worth, a.worth) })
-	var owed, got [3]float64
-	for i, j := range list {
-		tier := 2
-		if i < len(list)/10 {
-			tier = 0
-		} else if i < 3*len(list)/10 {
-			tier = 1
-		}
-		owed[tier] += j.worth
-		got[tier] += j.credit()
-	}
-	for i := range got {
-		got[i] /= owed[i]
-	}
-	return got
-}
