--- a/entry/lead/record.go
+++ b/entry/lead/record.go
@@ -103,7 +103,9 @@
 	}
 	if err := json.Unmarshal(kv.Value(), &rec); err != nil {
 		e.log.Error("failed to decode ownership record, treating it as released", zap.Error(err))
-		rec = record{Released: true}
+		// Each takeover takes a revision and raises the epoch by one, so no epoch that was
+		// used is higher than the record's revision.
+		rec = record{Released: true, Epoch: kv.ModRevision()}
 	}
 	return rec, kv.ModRevision(), true
 }
--- a/entry/lead/release.go
+++ b/entry/lead/release.go
@@ -56,6 +56,9 @@
 		e.mu.Lock()
 		next, rev := e.rec, e.rev
 		e.mu.Unlock()
+		if next.Holder != e.cfg.Self || next.Released {
+			return
+		}
 		next.Released = true
 		if _, ok := e.compareAndSwap(ctx, rev, next, false); ok {
 			e.log.Info("released ownership", zap.Int64("epoch", next.Epoch))
@@ -65,7 +68,7 @@
 		if !ok {
 			continue
 		}
-		if rec.Holder != next.Holder || rec.Epoch != next.Epoch || rec.Released {
+		if rec.Epoch != next.Epoch {
 			return
 		}
 		e.mu.Lock()
--- a/entry/quota/transfer.go
+++ b/entry/quota/transfer.go
@@ -22,10 +22,10 @@
 	shard := shards[st.nextDonor%len(shards)]
 	st.nextDonor++
 	st.inFlight = true
+	before := st.revision
 	r.mu.Unlock()
 	cctx, cancel := context.WithTimeout(ctx, CallTimeout)
 	defer cancel()
-	before := st.revision
 	err := r.deps.Peers.Yield(cctx, shard, team, unmetDemand)
 	r.mu.Lock()
 	defer r.mu.Unlock()
