Ask the advising service about more workers at once, and restore rates after a takeover

Most had got no advice in 15 s, since a step asked about 10 to 20 workers of which a quarter is allowed, and needed three to five calls of 600 ms each; the others were ranked as over their account's rate, because a new owner counts its predecessor's backlog as sent within one moment. Change: a call names as many workers as double its base time; the rate applies by the time of acceptance, in order; a job just accepted counts as accepted within the last 500 ms, whatever the clock of the accepting VM says.

--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -126,9 +126,7 @@
 	if e.ruleSet != nil {
 		t.state.SetRules(e.ruleSet)
 	}
-	for _, j := range loaded.jobs {
-		t.state.AddJob(j)
-	}
+	t.state.RestoreJobs(loaded.jobs)
 	var list []events.Event
 	for _, seg := range loaded.segments {
 		list = append(list, seg.Events...)
--- a/entry/sched/advice.go
+++ b/entry/sched/advice.go
@@ -7,6 +7,7 @@
 
 	"limpethitch.example/core/clock"
 	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/rules"
 )
 
 // adviceState holds the advice received about the workers that may run a step. The answer
@@ -43,7 +44,8 @@
 	// least minAskedWorkers, so that some of them are allowed and have free capacity.
 	minAskedWorkers = 10
 	askedPerNeeded  = 6
-	// maxAskedWorkers is the maximum number of workers in one request.
+	// maxAskedWorkers is the maximum number of workers in one request, set by the
+	// advising service.
 	maxAskedWorkers = 100
 )
 
@@ -157,13 +159,24 @@
 	slices.SortFunc(list, func(a, b fit) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
 	})
-	limit := min(maxAskedWorkers, minAskedWorkers)
+	limit := max(minAskedWorkers, workersPerBase(st.job.queue.Advice))
 	if len(list) > 0 && st.size.CPUMilli() > 0 {
 		perWorker := max(1, list[0].worker.spec.Capacity.CPUMilli()/2/st.size.CPUMilli())
 		need := (int64(st.unassigned) + perWorker - 1) / perWorker
-		limit = int(min(maxAskedWorkers, max(minAskedWorkers, need*askedPerNeeded)))
+		limit = max(limit, int(min(maxAskedWorkers, need*askedPerNeeded)))
 	}
-	return firstWorkers(list, limit)
+	return firstWorkers(list, min(limit, maxAskedWorkers))
+}
+
+// workersPerBase returns the number of workers for which a call to the advising service
+// takes twice its base time. A second call about further workers takes the base time
+// again, and the capacity on the workers of the first one may be gone by then, so that
+// asking about fewer workers at a time saves nothing.
+func workersPerBase(q *rules.AdviceConfig) int {
+	if q.PerWorkerMS <= 0 {
+		return maxAskedWorkers
+	}
+	return int(min(maxAskedWorkers, q.BaseMS/q.PerWorkerMS))
 }
 
 // requestAdvice emits a request unless all VMs are busy with calls to the advising
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"limpethitch.example/core/clock"
@@ -13,8 +15,27 @@
 // value any more.
 const worthlessFactor = 3
 
-// AddJob adds an accepted job. A job that exists already is left unchanged.
+// maxDeliveryDelay is how long after its acceptance a new job may reach the owner. The time
+// of acceptance comes from another VM, whose clock may be wrong by seconds.
+const maxDeliveryDelay = 500 * time.Millisecond
+
+// AddJob adds a job that was just accepted. A job that exists already is left unchanged.
 func (s *State) AddJob(doc *graph.Job) {
+	s.addJob(doc, max(s.monoTime(doc.AcceptedUnixMS), s.now.Add(-maxDeliveryDelay)))
+}
+
+// RestoreJobs adds the jobs that former owners accepted. It must be called before Replay.
+func (s *State) RestoreJobs(docs []*graph.Job) {
+	// The accounts' rates apply to the jobs in the order of their acceptance.
+	docs = slices.Clone(docs)
+	slices.SortStableFunc(docs, func(a, b *graph.Job) int { return cmp.Compare(a.AcceptedUnixMS, b.AcceptedUnixMS) })
+	for _, doc := range docs {
+		s.addJob(doc, s.monoTime(doc.AcceptedUnixMS))
+	}
+}
+
+// addJob adds a job that was accepted at the given time, or now if that is in the future.
+func (s *State) addJob(doc *graph.Job, accepted clock.Mono) {
 	if s.jobs[doc.ID] != nil {
 		return
 	}
@@ -24,10 +45,10 @@
 	}
 	j := &job{doc: doc, state: JobQueued, occurrences: make([][]*step, doc.OccurrenceCount())}
 	j.stepsLeft = doc.OccurrenceCount() * len(doc.Steps)
-	j.accepted = s.monoTime(doc.AcceptedUnixMS)
+	j.accepted = min(accepted, s.now)
 	s.setQueue(j)
 	s.jobs[doc.ID] = j
-	j.overRate = !s.takeToken(s.team(doc.Team))
+	j.overRate = !s.team(doc.Team).takeToken(j.accepted)
 	if s.cancelledEarly[doc.ID] {
 		delete(s.cancelledEarly, doc.ID)
 		s.Cancel(doc.ID)
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -223,3 +223,58 @@
 		})
 	}
 }
+
+// TestRateOfRestoredJobs guards against a new owner that takes its predecessor's backlog
+// as sent at once: it would rank the jobs of accounts within their rate behind all others.
+func TestRateOfRestoredJobs(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		intervalMS int64
+		overRate   int
+	}{
+		"within the rate": {intervalMS: 500, overRate: 0},
+		"at once":         {intervalMS: 0, overRate: 8},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.SetRules(rules.New(2, []rules.Queue{{Name: "q"}}, []rules.Team{{Name: "a", Rate: 2}}, rules.Limits{}))
+			var docs []*graph.Job
+			for i := range 10 {
+				doc := newJobInQueue(i, "q", graph.Step{Count: 1, CPUMilli: 1000})
+				doc.AcceptedUnixMS = 10_000 - int64(i)*tt.intervalMS
+				docs = append(docs, doc)
+			}
+			s.RestoreJobs(docs)
+			overRate := 0
+			for _, j := range s.jobs {
+				if j.overRate {
+					overRate++
+				}
+			}
+			if diff := cmp.Diff(tt.overRate, overRate); diff != "" {
+				t.Errorf("jobs over the rate (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestAcceptedByWrongClock guards against a job that counts as late, or as not due for a
+// long time, because the clock of the VM that accepted it is wrong.
+func TestAcceptedByWrongClock(t *testing.T) {
+	t.Parallel()
+	for name, offsetMS := range map[string]int64{"behind": -2400, "ahead": 2400, "right": 0} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			doc := newJob(graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 1000})
+			doc.AcceptedUnixMS += offsetMS
+			s.AddJob(doc)
+			want := testNow.Add(2 * time.Second) // twice the run time
+			if early := want.Sub(s.jobs[testJob].objective); early < 0 || early > maxDeliveryDelay {
+				t.Errorf("objective is %v before that of a job accepted now", early)
+			}
+		})
+	}
+}
--- a/entry/sched/load_scenarios_test.go
+++ b/entry/sched/load_scenarios_test.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -44,6 +43,25 @@
 	return kinds
 }
 
+// selectiveLoadKinds returns kinds of jobs for 48 workers of 16 cores. Few workers may run
+// a gang, and a call to the advising service about a gang takes over half a second.
+func selectiveLoadKinds(scale float64) []loadKind {
+	kinds := smallLoadKinds(1)
+	rates, worth := []float64{1.07, 6.8, 30.7}, []float64{15.1, 1.49, 0.459}
+	width, cpu := []float64{8, 10, 2}, []float64{4500, 890, 1300}
+	memory, work := []float64{17000, 3300, 3700}, []float64{6200, 2200, 1000}
+	allowed := []float64{0.25, 0.45, 0.7}
+	base, perWorker := []float64{520, 42, 8.7}, []float64{7.4, 0.6, 0.12}
+	for i := range kinds {
+		k := &kinds[i]
+		k.perSecond, k.worth, k.allowed = rates[i]*scale, worth[i], allowed[i]
+		k.width.mean, k.cpu.mean, k.memory.mean, k.workMS.mean = width[i], cpu[i], memory[i], work[i]
+		k.width.limit, k.cpu.limit, k.memory.limit, k.workMS.limit = 6*width[i], 1.7*cpu[i], 2*memory[i], 2.5*work[i]
+		k.queue.Advice = &rules.AdviceConfig{BaseMS: base[i], PerWorkerMS: perWorker[i], ValidMS: 1500}
+	}
+	return kinds
+}
+
 // BenchmarkLoad simulates all scenarios and reports the share of the jobs' worth that was
 // earned, in total and by gangs. Use it to compare changes of the decisions.
 func BenchmarkLoad(b *testing.B) {
@@ -51,7 +69,7 @@
 		b.Run(name, func(b *testing.B) {
 			total, gangs := 0.0, 0.0
 			for i := range b.N {
-				all, byKind, _ := newLoad(b, uint64(i+1), d.workers, d.vms, d.kinds).run(d.length)
+				all, byKind, _ := newLoad(b, uint64(i+1), d).run(d.length)
 				total += all
 				gangs += byKind[0]
 			}
@@ -63,10 +81,20 @@
 
 type loadScenario struct {
 	workers, vms int
+	workerCores  int64 // 0 means defaultWorkerCores
 	length       time.Duration
 	kinds        []loadKind
 }
 
+const defaultWorkerCores = 32
+
+func (d loadScenario) workerCPU() int64 {
+	if d.workerCores == 0 {
+		return 1000 * defaultWorkerCores
+	}
+	return 1000 * d.workerCores
+}
+
 // loadScenarios returns the simulated loads by name.
 func loadScenarios() map[string]loadScenario {
 	burst := func(kinds []loadKind, at int, x float64) []loadKind {
@@ -80,6 +108,8 @@
 		"small, gangs burst":  {workers: 48, vms: 9, length: 40 * time.Second, kinds: burst(smallLoadKinds(1.1), 0, 2)},
 		"large, urgent flood": {workers: 230, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(0.9), 2, 6)},
 		"small, urgent flood": {workers: 40, vms: 7, length: 30 * time.Second, kinds: burst(smallLoadKinds(1.1), 2, 6)},
+		"selective, steady":   {workers: 48, vms: 6, workerCores: 16, length: 40 * time.Second, kinds: selectiveLoadKinds(1)},
+		"selective, busy":     {workers: 48, vms: 6, workerCores: 16, length: 40 * time.Second, kinds: burst(selectiveLoadKinds(1.3), 2, 2)},
 		"large, urgent burst": {workers: 350, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(1.1), 2, 2)},
 	}
 }
@@ -96,7 +126,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			d := loadScenarios()[name]
-			l := newLoad(t, 2, d.workers, d.vms, d.kinds)
+			l := newLoad(t, 2, d)
 			total, byKind, _ := l.run(d.length)
 			if total < minWorthShare {
 				t.Errorf("seed 2: worth %.3f, by kind %.3f, want %.2f", total, byKind, minWorthShare)
@@ -105,28 +135,50 @@
 	}
 }
 
-// TestUrgentFlood guards against starting all urgent jobs at the last moment under
-// overload, so that they all end just too late.
-func TestUrgentFlood(t *testing.T) {
+// TestWorthOverBaseline guards against decisions of earlier versions under load, which
+// earned the share of a kind's worth that is given as the baseline, over the same seeds.
+func TestWorthOverBaseline(t *testing.T) {
 	t.Parallel()
-	// baseline is the share of their worth that urgent jobs earned on these seeds with
-	// requiredRunShare at 0.7 and no startOverhead.
-	const baseline = 0.935
-	d := loadScenarios()["small, urgent flood"]
-	var mu sync.Mutex
-	sum, seeds := 0.0, 6
-	t.Run("seeds", func(t *testing.T) {
-		for seed := uint64(1); seed <= uint64(seeds); seed++ {
-			t.Run(fmt.Sprint(seed), func(t *testing.T) {
-				t.Parallel()
-				_, byKind, _ := newLoad(t, seed, d.workers, d.vms, d.kinds).run(d.length)
-				mu.Lock()
-				defer mu.Unlock()
-				sum += byKind[2]
-			})
-		}
-	})
-	if mean := sum / float64(seeds); mean <= baseline {
-		t.Errorf("seeds 1 to %d: urgent jobs earn %.3f of their worth, want over %.3f", seeds, mean, baseline)
+	const seeds = 6
+	tests := map[string]struct {
+		scenario string
+		kind     int
+		baseline float64
+	}{
+		// All urgent jobs started at the last moment under overload, so that they all
+		// ended just too late: requiredRunShare at 0.7 and no startOverhead.
+		"urgent jobs": {scenario: "small, urgent flood", kind: 2, baseline: 0.935},
+		// Gangs whose first call to the advising service named so few workers that they
+		// needed several of the long calls.
+		"gangs, few workers allowed": {scenario: "selective, busy", kind: 0, baseline: 0.843},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			mean := meanWorth(t, loadScenarios()[tt.scenario], tt.kind, seeds)
+			if mean <= tt.baseline {
+				t.Errorf("seeds 1 to %d of %s: %.3f of the worth earned, want over %.3f", seeds, tt.scenario, mean, tt.baseline)
+			}
+		})
+	}
+}
+
+// meanWorth returns the mean share of the worth that a kind of job earns over the seeds
+// from 1.
+func meanWorth(t *testing.T, d loadScenario, kind, seeds int) float64 {
+	t.Helper()
+	var wg sync.WaitGroup
+	earned := make([]float64, seeds)
+	for i := range earned {
+		wg.Go(func() {
+			_, byKind, _ := newLoad(t, uint64(i+1), d).run(d.length)
+			earned[i] = byKind[kind]
+		})
+	}
+	wg.Wait()
+	sum := 0.0
+	for _, v := range earned {
+		sum += v
 	}
+	return sum / float64(seeds)
 }
--- a/entry/sched/load_test.go
+++ b/entry/sched/load_test.go
@@ -27,7 +27,6 @@
 	// loadMessageDelay is the delivery time of an order or a report.
 	loadMessageDelay = 10 * time.Millisecond
 	loadStopTime     = 150 * time.Millisecond
-	loadWorkerCPU    = 32000
 )
 
 // distribution is a log-normal distribution that is cut off at limit. spread is the
@@ -94,6 +93,7 @@
 	unreportedEnds  map[string][]RunEnd
 	lastEndSeq      map[string]int64
 	workers         []string
+	workerCPU       int64 // of each worker
 	vms             []clock.Mono // busy until
 	pendingMessages []message
 	jobCount        int
@@ -101,11 +101,13 @@
 	usedCPU, wastedCPU float64
 }
 
-func newLoad(t testing.TB, seed uint64, workers, vms int, kinds []loadKind) *load {
+func newLoad(t testing.TB, seed uint64, d loadScenario) *load {
 	t.Helper()
+	kinds := d.kinds
 	l := &load{
 		rng: rand.New(rand.NewPCG(seed, 7)), now: clock.Mono(time.Second), kinds: kinds, jobs: make(map[string]*loadJob),
-		unreportedEnds: make(map[string][]RunEnd), lastEndSeq: make(map[string]int64), vms: make([]clock.Mono, vms),
+		unreportedEnds: make(map[string][]RunEnd), lastEndSeq: make(map[string]int64), vms: make([]clock.Mono, d.vms),
+		workerCPU: d.workerCPU(),
 	}
 	l.state = New(Config{StartTTL: 2 * time.Second, FormerLeaseTTL: 14 * time.Second, MaxStopDuration: loadStopTime, ReserveAdviser: l.reserveAdviser})
 	l.state.SetNow(l.now, l.wall())
@@ -114,12 +116,12 @@
 		queues = append(queues, kinds[i].queue)
 	}
 	l.state.SetRules(rules.New(1, queues, nil, rules.Limits{}))
-	for i := range workers {
+	for i := range d.workers {
 		id := fmt.Sprintf("w%03d", i)
 		l.workers = append(l.workers, id)
 		l.state.PutWorker(WorkerSpec{
 			ID: id, Addr: id, DataCentre: "dc", Service: "svc", Labels: []string{"b", fmt.Sprintf("r%d", i/8)},
-			Capacity: amount.New(loadWorkerCPU, 131072, 0, 0), BootUnixMS: 1,
+			Capacity: amount.New(l.workerCPU, 131072, 0, 0), BootUnixMS: 1,
 		})
 		l.state.Observe(Report{Worker: id, BootUnixMS: 1, PolledAt: l.now})
 	}
@@ -397,5 +399,5 @@
 		sumEarned += earned[i]
 		byKind = append(byKind, earned[i]/offered[i])
 	}
-	return sumEarned / sumOffered, byKind, l.usedCPU / float64(len(l.workers)) / loadWorkerCPU / length.Seconds()
+	return sumEarned / sumOffered, byKind, l.usedCPU / float64(len(l.workers)) / float64(l.workerCPU) / length.Seconds()
 }
--- a/entry/sched/model_test.go
+++ b/entry/sched/model_test.go
@@ -110,9 +110,11 @@
 	s.SetNow(m.now, m.wall())
 	s.SetRules(rules.New(1, []rules.Queue{{Name: "q", Service: "svc", MaxAttempts: modelMaxAttempts, StretchFactor: 2}},
 		[]rules.Team{{Name: "a", Limit: amount.New(modelAccountCPU, 0, 0, 0)}}, rules.Limits{}))
+	var docs []*graph.Job
 	for _, id := range slices.Sorted(maps.Keys(m.jobs)) {
-		s.AddJob(m.jobs[id])
+		docs = append(docs, m.jobs[id])
 	}
+	s.RestoreJobs(docs)
 	s.Replay(m.journal)
 	s.FinishRecovery(m.now)
 	for _, id := range slices.Sorted(maps.Keys(m.cancels)) {
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -15,8 +15,8 @@
 //
 // # Recovery
 //
-// After a takeover the new owner adds all jobs, calls Replay with the whole journal
-// and then FinishRecovery once. A run without an end in the journal counts as running
+// After a takeover the new owner calls RestoreJobs with all jobs, Replay with the whole
+// journal and then FinishRecovery once. A run without an end in the journal counts as running
 // until its worker's list shows otherwise or its lease has certainly expired.
 package sched
 
@@ -330,7 +330,6 @@
 		t = &team{name: name}
 		s.applyTeamRules(t, name)
 		t.tokens = t.rate
-		t.tokensAt = s.now
 		s.teams[name] = t
 	}
 	return t
@@ -344,14 +343,16 @@
 	t.limit, t.rate = spec.Limit, spec.Rate
 }
 
-// takeToken takes one job from the client account's token bucket and reports whether
-// there was one. The bucket holds the jobs of one second, and at least one.
-func (s *State) takeToken(t *team) bool {
+// takeToken takes one job, accepted at the given time, from the client account's token
+// bucket and reports whether there was one. The bucket holds the jobs of one second, and at
+// least one.
+func (t *team) takeToken(at clock.Mono) bool {
 	if t.rate <= 0 {
 		return true
 	}
-	t.tokens = min(t.tokens+s.now.Sub(t.tokensAt).Seconds()*t.rate, max(1, t.rate))
-	t.tokensAt = s.now
+	at = max(at, t.tokensAt)
+	t.tokens = min(t.tokens+at.Sub(t.tokensAt).Seconds()*t.rate, max(1, t.rate))
+	t.tokensAt = at
 	if t.tokens < 1 {
 		return false
 	}
