Ask the advising service about a wide gang in several calls at once

Each asked about 100 of 432 workers a call, one call of a second after the other, so that a gang knew a quarter of its workers when the tickets of the first call expired. Change: a step asks about as many workers as its tasks should need, by the free capacity and by the share of workers that the queue's steps were allowed so far, up to five calls of 100 at once, which go to different VMs.

--- a/entry/sched/advice.go
+++ b/entry/sched/advice.go
@@ -14,8 +14,8 @@
 // about a worker does not change. The tickets of allowed workers expire, and a further
 // request about these workers renews them.
 type adviceState struct {
-	// pending is whether a request is in flight, requestedAt when the last one was sent.
-	pending     bool
+	// pending is the number of requests in flight, requestedAt when the last one was sent.
+	pending     int
 	requestedAt clock.Mono
 	// answered holds the IDs of the workers that advice was received about, allowed those
 	// of them that may run the step. Both are nil until the first answer.
@@ -40,10 +40,17 @@
 	adviceRetryInterval = 600 * time.Millisecond
 	// adviceTimeout is how long a step waits for an answer.
 	adviceTimeout = 3 * time.Second
-	// A request names askedPerNeeded workers for each one that the step needs, and at
-	// least minAskedWorkers, so that some of them are allowed and have free capacity.
+	// minAskedWorkers is the minimum number of workers that a step asks about.
 	minAskedWorkers = 10
-	askedPerNeeded  = 6
+	// spareRoom is how many times a step's tasks should fit on the allowed ones of the
+	// workers asked about. Other steps take a part of the room before the answer arrives.
+	spareRoom = 4
+	// emptyRoomShare is the share of a full worker's capacity that counts as room, because
+	// some of its runs end while the tickets are valid.
+	emptyRoomShare = 0.1
+	// maxRequests is the maximum number of requests that a step has in flight. They go to
+	// different VMs, each of which makes one call at a time.
+	maxRequests = 5
 	// maxAskedWorkers is the maximum number of workers in one request, set by the
 	// advising service.
 	maxAskedWorkers = 100
@@ -78,7 +85,7 @@
 	}
 	fits := s.findFits(st, st.unassigned, func(w *worker) bool { return s.isAllowed(st, w) && !s.hasTicket(st, w) })
 	if len(fits) > 0 {
-		s.requestAdvice(st, firstWorkers(fits, maxAskedWorkers))
+		s.requestAdvice(st, firstWorkers(fits, maxRequests*maxAskedWorkers))
 		return
 	}
 	if s.now.Sub(st.advice.requestedAt) >= adviceRetryInterval {
@@ -98,7 +105,7 @@
 		return true
 	}
 	if fits := s.gangFits(st, need, func(w *worker) bool { return s.isAllowed(st, w) }); fits != nil {
-		if s.requestAdvice(st, firstWorkers(fits, maxAskedWorkers)) {
+		if s.requestAdvice(st, firstWorkers(fits, maxRequests*maxAskedWorkers)) {
 			s.reserveForGang(st, fits, need)
 		}
 		return true
@@ -127,11 +134,11 @@
 // waitingForAdvice reports whether a request of the step is in flight. A request that
 // timed out is dropped.
 func (s *State) waitingForAdvice(st *step) bool {
-	if st.advice.pending && s.now.Sub(st.advice.requestedAt) >= adviceTimeout {
-		st.advice.pending = false
+	if st.advice.pending > 0 && s.now.Sub(st.advice.requestedAt) >= adviceTimeout {
+		st.advice.pending = 0
 		s.releaseReserved(st)
 	}
-	return st.advice.pending
+	return st.advice.pending > 0
 }
 
 func firstWorkers(fits []fit, limit int) []*worker {
@@ -143,29 +150,33 @@
 }
 
 // candidates returns the workers to ask about next, those with the most free CPU first.
-// Before the first answer it includes workers without free capacity. The number of
-// workers assumes that half of a worker's CPU is available to the step.
+// Before the first answer it includes workers without free capacity. It returns so many
+// that the step's tasks are expected to fit on the allowed ones.
 func (s *State) candidates(st *step) []*worker {
 	var list []fit
 	for _, w := range s.workerList {
 		if !s.eligible(w, st) || st.advice.answered[w.spec.ID] || !st.size.Fits(w.spec.Capacity) {
 			continue
 		}
-		if st.advice.answered != nil && s.capacityFor(w, st, 1) == 0 {
+		n := s.capacityFor(w, st, st.unassigned)
+		if st.advice.answered != nil && n == 0 {
 			continue
 		}
-		list = append(list, fit{worker: w, cost: -float64(w.free().CPUMilli())})
+		list = append(list, fit{worker: w, count: n, cost: -float64(w.free().CPUMilli())})
 	}
 	slices.SortFunc(list, func(a, b fit) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
 	})
 	limit := max(minAskedWorkers, workersPerBase(st.job.queue.Advice))
-	if len(list) > 0 && st.size.CPUMilli() > 0 {
-		perWorker := max(1, list[0].worker.spec.Capacity.CPUMilli()/2/st.size.CPUMilli())
-		need := (int64(st.unassigned) + perWorker - 1) / perWorker
-		limit = max(limit, int(min(maxAskedWorkers, need*askedPerNeeded)))
+	need := spareRoom * float64(st.unassigned) / s.allowedShares.share(st.job.doc.Queue)
+	for i, f := range list {
+		if i >= limit && need <= 0 || i == maxRequests*maxAskedWorkers {
+			return firstWorkers(list, i)
+		}
+		whenEmpty := fitCount(f.worker.spec.Capacity.CPUMilli(), st.size.CPUMilli(), st.unassigned)
+		need -= max(float64(f.count), emptyRoomShare*float64(whenEmpty))
 	}
-	return firstWorkers(list, min(limit, maxAskedWorkers))
+	return firstWorkers(list, len(list))
 }
 
 // workersPerBase returns the number of workers for which a call to the advising service
@@ -179,12 +190,20 @@
 	return int(min(maxAskedWorkers, q.BaseMS/q.PerWorkerMS))
 }
 
-// requestAdvice emits a request unless all VMs are busy with calls to the advising
-// service. It reports whether it emitted one.
+// requestAdvice emits requests about the workers, as long as not all VMs are busy with calls
+// to the advising service. It reports whether it emitted one.
 func (s *State) requestAdvice(st *step, workers []*worker) bool {
-	if len(workers) == 0 {
-		return false
+	requests := (len(workers) + maxAskedWorkers - 1) / maxAskedWorkers
+	for i := range requests {
+		if !s.requestAdviceOnce(st, workers[i*len(workers)/requests:(i+1)*len(workers)/requests]) {
+			return i > 0
+		}
 	}
+	return requests > 0
+}
+
+// requestAdviceOnce emits one request unless all VMs are busy.
+func (s *State) requestAdviceOnce(st *step, workers []*worker) bool {
 	a := &st.advice
 	q := st.job.queue.Advice
 	cost := int64(q.BaseMS + q.PerWorkerMS*float64(len(workers)))
@@ -192,7 +211,8 @@
 	if !ok {
 		return false
 	}
-	a.pending, a.requestedAt = true, s.now
+	a.pending++
+	a.requestedAt = s.now
 	ids := make([]string, 0, len(workers))
 	for _, w := range workers {
 		ids = append(ids, w.spec.ID)
@@ -233,11 +253,16 @@
 		return
 	}
 	a := &st.advice
-	a.pending = false
-	s.releaseReserved(st)
+	a.pending = max(0, a.pending-1)
+	if a.pending == 0 {
+		s.releaseReserved(st)
+	}
 	if !ok {
 		return
 	}
+	if len(asked) > 0 {
+		s.allowedShares.add(st.job.doc.Queue, float64(len(tickets))/float64(len(asked)))
+	}
 	if a.answered == nil {
 		a.answered, a.allowed, a.tickets = make(map[string]bool), make(map[string]bool), make(map[string]ticket)
 	}
@@ -264,3 +289,33 @@
 
 // parseStep parses a step's name as the name of its first task.
 func parseStep(name string) (graph.TaskID, bool) { return graph.ParseTaskID(name + ".0") }
+
+// allowedShares keeps, by queue, a moving average of the share of the workers asked about
+// that the advising service allows.
+type allowedShares struct{ mean map[string]float64 }
+
+const (
+	// initialAllowedShare is assumed before the first answer for a queue.
+	initialAllowedShare = 0.5
+	// minAllowedShare bounds the number of workers asked about for a queue that is allowed
+	// on hardly any worker.
+	minAllowedShare = 0.05
+	// allowedShareWeight is the weight of the newest answer in the average.
+	allowedShareWeight = 0.1
+)
+
+func (a *allowedShares) add(queue string, share float64) {
+	if a.mean == nil {
+		a.mean = make(map[string]float64)
+	}
+	old := a.share(queue)
+	a.mean[queue] = old + allowedShareWeight*(share-old)
+}
+
+func (a *allowedShares) share(queue string) float64 {
+	mean, ok := a.mean[queue]
+	if !ok {
+		return initialAllowedShare
+	}
+	return max(mean, minAllowedShare)
+}
--- a/entry/sched/load.go
+++ b/entry/sched/load.go
@@ -28,7 +28,7 @@
 		if st.rank.class > classOnTime {
 			l.Missed++
 		}
-		if st.advice.pending {
+		if st.advice.pending > 0 {
 			l.WaitingForAdvice++
 		} else if st.job.queue.Advice != nil && st.advice.answered == nil {
 			l.AdviceNotRequested++
--- a/entry/sched/load_scenarios_test.go
+++ b/entry/sched/load_scenarios_test.go
@@ -43,25 +43,46 @@
 	return kinds
 }
 
-// selectiveLoadKinds returns kinds of jobs for 48 workers of 16 cores. Few workers may run
-// a gang, and a call to the advising service about a gang takes over half a second.
-func selectiveLoadKinds(scale float64) []loadKind {
-	kinds := smallLoadKinds(1)
-	rates, worth := []float64{1.07, 6.8, 30.7}, []float64{15.1, 1.49, 0.459}
-	width, cpu := []float64{8, 10, 2}, []float64{4500, 890, 1300}
-	memory, work := []float64{17000, 3300, 3700}, []float64{6200, 2200, 1000}
-	allowed := []float64{0.25, 0.45, 0.7}
-	base, perWorker := []float64{520, 42, 8.7}, []float64{7.4, 0.6, 0.12}
-	for i := range kinds {
+// kindFigures are the means of one kind of job.
+type kindFigures struct {
+	perSecond, worth, allowed  float64
+	width, cpu, memory, workMS float64
+	adviceMS, advicePerWorker  float64
+}
+
+// kindsWith returns the kinds of loadKinds with other means, in the same order.
+func kindsWith(scale float64, figures [3]kindFigures) []loadKind {
+	kinds := loadKinds(1)
+	for i, f := range figures {
 		k := &kinds[i]
-		k.perSecond, k.worth, k.allowed = rates[i]*scale, worth[i], allowed[i]
-		k.width.mean, k.cpu.mean, k.memory.mean, k.workMS.mean = width[i], cpu[i], memory[i], work[i]
-		k.width.limit, k.cpu.limit, k.memory.limit, k.workMS.limit = 6*width[i], 1.7*cpu[i], 2*memory[i], 2.5*work[i]
-		k.queue.Advice = &rules.AdviceConfig{BaseMS: base[i], PerWorkerMS: perWorker[i], ValidMS: 1500}
+		k.perSecond, k.worth, k.allowed = f.perSecond*scale, f.worth, f.allowed
+		k.width.mean, k.cpu.mean, k.memory.mean, k.workMS.mean = f.width, f.cpu, f.memory, f.workMS
+		k.width.limit, k.cpu.limit, k.memory.limit, k.workMS.limit = 6*f.width, 1.7*f.cpu, 2*f.memory, 2.5*f.workMS
+		k.queue.Advice = &rules.AdviceConfig{BaseMS: f.adviceMS, PerWorkerMS: f.advicePerWorker, ValidMS: 2000}
 	}
 	return kinds
 }
 
+// selectiveLoadKinds returns kinds of jobs for 48 workers of 16 cores. Few workers may run
+// a gang, and a call to the advising service about a gang takes over half a second.
+func selectiveLoadKinds(scale float64) []loadKind {
+	return kindsWith(scale, [3]kindFigures{
+		{1.07, 15.1, 0.25, 8, 4500, 17000, 6200, 520, 7.4},
+		{6.8, 1.49, 0.45, 10, 890, 3300, 2200, 42, 0.6},
+		{30.7, 0.459, 0.7, 2, 1300, 3700, 1000, 8.7, 0.12},
+	})
+}
+
+// wideLoadKinds returns kinds of jobs for 540 workers of 32 cores: gangs of 20 tasks, of
+// which three fit on a worker, and batch tasks of a size that fills the gaps.
+func wideLoadKinds(scale float64) []loadKind {
+	return kindsWith(scale, [3]kindFigures{
+		{7.89, 4.94, 0.35, 20, 9000, 34000, 4000, 410, 5.9},
+		{11.1, 2.19, 0.45, 19, 5200, 15000, 2700, 140, 2},
+		{79, 0.432, 0.7, 3.1, 7500, 21000, 1000, 20, 0.28},
+	})
+}
+
 // BenchmarkLoad simulates all scenarios and reports the share of the jobs' worth that was
 // earned, in total and by gangs. Use it to compare changes of the decisions.
 func BenchmarkLoad(b *testing.B) {
@@ -110,6 +131,8 @@
 		"small, urgent flood": {workers: 40, vms: 7, length: 30 * time.Second, kinds: burst(smallLoadKinds(1.1), 2, 6)},
 		"selective, steady":   {workers: 48, vms: 6, workerCores: 16, length: 40 * time.Second, kinds: selectiveLoadKinds(1)},
 		"selective, busy":     {workers: 48, vms: 6, workerCores: 16, length: 40 * time.Second, kinds: burst(selectiveLoadKinds(1.3), 2, 2)},
+		"wide, packed":        {workers: 432, vms: 97, length: 20 * time.Second, kinds: wideLoadKinds(1.0)},
+		"selective, overload": {workers: 48, vms: 6, workerCores: 16, length: 30 * time.Second, kinds: burst(selectiveLoadKinds(1.5), 2, 2)},
 		"large, urgent burst": {workers: 350, vms: 29, length: 30 * time.Second, kinds: burst(loadKinds(1.1), 2, 2)},
 	}
 }
@@ -151,6 +174,9 @@
 		// Gangs whose first call to the advising service named so few workers that they
 		// needed several of the long calls.
 		"gangs, few workers allowed": {scenario: "selective, busy", kind: 0, baseline: 0.843},
+		// Wide gangs that asked about 100 workers at a time, one call of a second after the
+		// other.
+		"wide gangs": {scenario: "wide, packed", kind: 0, baseline: 0.84},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/entry/sched/load_test.go
+++ b/entry/sched/load_test.go
@@ -93,7 +93,7 @@
 	unreportedEnds  map[string][]RunEnd
 	lastEndSeq      map[string]int64
 	workers         []string
-	workerCPU       int64 // of each worker
+	workerCPU       int64        // of each worker
 	vms             []clock.Mono // busy until
 	pendingMessages []message
 	jobCount        int
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -280,7 +280,8 @@
 	// wallOffset is the time on the monotonic clock at Unix time 0.
 	wallOffset clock.Mono
 
-	runTimes runTimeEstimator
+	runTimes      runTimeEstimator
+	allowedShares allowedShares
 
 	events      []events.Event
 	decisions   []Decision
