Keep slow VMs from taking over while VMs with enough CPU are alive

It waited only 0.5 s longer than the others, which is less than the time between two reads of the record; it did not wait at all if it was not on the owner's list, if its own process had restarted or if the owner's address was taken over by another process; and while it loaded its state, which takes it seconds, it learned of no other VM and so did not resign. Change: the owner's reply to a hello says how many of the listed VMs have enough CPU; all others wait 2.5 s, also for their own earlier process (1 s as long as they have no list). Tests: TestTakeoverDelay, TestResignWhileLoading, two rows of TestTakeover.

--- a/entry/accept/accept_test.go
+++ b/entry/accept/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
@@ -228,3 +229,40 @@
 	}
 	return values
 }
+
+// TestTakeoverDelay guards against a slow VM that takes over from a lost owner while VMs
+// with enough CPU are alive: it cannot carry the load and loses the term again.
+func TestTakeoverDelay(t *testing.T) {
+	t.Parallel()
+	members := []string{"s0", "s1", "s2", "s3", "s4", "s5", "s6", "w0", "a0"}
+	place := func(at int) []string {
+		list := slices.DeleteFunc(slices.Clone(members), func(a string) bool { return a == "a0" })
+		return slices.Insert(list, at, "a0")
+	}
+	tests := map[string]struct {
+		reply    *engine.HelloReply
+		cpuMilli int64
+		want     time.Duration
+	}{
+		"among the first":      {reply: &engine.HelloReply{Members: place(0), Candidates: 8}, cpuMilli: 800},
+		"enough CPU":           {reply: &engine.HelloReply{Members: place(6), Candidates: 8}, cpuMilli: 800, want: candidateDelay},
+		"slow":                 {reply: &engine.HelloReply{Members: place(8), Candidates: 7}, cpuMilli: 190, want: slowVMDelay},
+		"slow, not listed":     {reply: &engine.HelloReply{Members: members[:8], Candidates: 7}, cpuMilli: 190, want: slowVMDelay},
+		"all slow":             {reply: &engine.HelloReply{Members: place(0), Candidates: 9}, cpuMilli: 190},
+		"no list, enough CPU":  {cpuMilli: 400},
+		"no list yet, slow VM": {cpuMilli: 190, want: unlistedDelay},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			svc, _ := newService(store.NewMemory(), &fakePeers{})
+			svc.cfg.CPUMilli = tt.cpuMilli
+			if tt.reply != nil {
+				svc.ownerReply.Store(&ownerReply{HelloReply: *tt.reply})
+			}
+			if diff := cmp.Diff(tt.want, svc.TakeoverDelay()); diff != "" {
+				t.Errorf("delay (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/accept/owner.go
+++ b/entry/accept/owner.go
@@ -59,14 +59,18 @@
 	reply := s.ownerReply.Load()
 	if reply == nil {
 		if s.cfg.CPUMilli < lowCPUMilli {
-			return candidateDelay
+			return unlistedDelay
 		}
 		return 0
 	}
-	if i := slices.Index(reply.Members, s.cfg.Self.Addr); i >= firstCandidates {
+	switch i := slices.Index(reply.Members, s.cfg.Self.Addr); {
+	case i < 0 || i >= reply.Candidates:
+		return slowVMDelay
+	case i >= firstCandidates:
 		return candidateDelay
+	default:
+		return 0
 	}
-	return 0
 }
 
 // ownerReplyTTL is how long after sending a hello that was answered the owner counts
@@ -83,8 +87,15 @@
 	// firstCandidates is the number of VMs that take over without a delay: those with
 	// the most CPU.
 	firstCandidates = 6
-	// candidateDelay is how long all others wait.
+	// candidateDelay is how long other VMs with enough CPU wait.
 	candidateDelay = 500 * time.Millisecond
+	// slowVMDelay is how long all others wait. A VM without enough CPU cannot carry the
+	// load, so it takes over only if the VMs with more CPU would have done so long before,
+	// whenever each of them last read the record.
+	slowVMDelay = 2500 * time.Millisecond
+	// unlistedDelay is how long a slow VM waits that has no list of members yet, for example
+	// after all VMs were restarted.
+	unlistedDelay = time.Second
 	// lowCPUMilli is the CPU share below which a VM that has no list of members yet
 	// assumes that others have more.
 	lowCPUMilli = 300
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -131,7 +131,7 @@
 	unstoredJobs        map[string]int64 // finished jobs, with the round that stores the end
 	waitingJobs         map[string]int   // cached result of sched.State.Pending, by queue
 	waitingJobsAt       clock.Mono
-	loadedAt            clock.Mono    // when the state was loaded
+	begunAt             clock.Mono    // when this VM found itself the owner
 	loadLoggedAt        clock.Mono    // when the load was last logged
 	transferRequestedAt clock.Mono    // when another VM was last asked to take over
 	peerStoreContact    contactStreak // the period in which the store answers other VMs
@@ -239,7 +239,11 @@
 
 // tick does the periodic work that depends on time alone.
 func (e *Engine) tick() {
-	if e.term == nil || !e.term.ready {
+	if e.term == nil {
+		return
+	}
+	e.resignToFasterVM(e.term)
+	if !e.term.ready {
 		return
 	}
 	e.term.dirty = true
@@ -247,7 +251,6 @@
 	e.compact(e.term)
 	e.runMaintenance(e.term)
 	e.logLoad(e.term)
-	e.resignToFasterVM(e.term)
 }
 
 // JobStatus is the state of a job as the owner reports it. Known is false for a job
@@ -266,15 +269,19 @@
 // call runs f in the loop and waits for it. It fails with rcode.NotOwner unless this
 // VM is the owner and has loaded its state, and with rcode.NoOwner if ctx ends first.
 func (e *Engine) call(ctx context.Context, f func(t *term)) error {
-	done := make(chan bool, 1)
-	e.post(func() {
-		if e.term == nil || !e.term.ready {
-			done <- false
-			return
+	return e.callTerm(ctx, func(t *term) bool {
+		if t.ready {
+			f(t)
 		}
-		f(e.term)
-		done <- true
+		return t.ready
 	})
+}
+
+// callTerm is call for an f that also runs while the state is loading. f returns whether
+// the owner could answer.
+func (e *Engine) callTerm(ctx context.Context, f func(t *term) bool) error {
+	done := make(chan bool, 1)
+	e.post(func() { done <- e.term != nil && f(e.term) })
 	select {
 	case ok := <-done:
 		if !ok {
--- a/entry/engine/hello.go
+++ b/entry/engine/hello.go
@@ -26,9 +26,11 @@
 	Owner lead.Holder
 	// Waiting is the number of jobs that wait for their first start, by queue.
 	Waiting map[string]int
-	// Members are the addresses of all VMs that the owner knows, those with the most
-	// CPU first.
-	Members []string
+	// Members are the addresses of the VMs that the owner knows, those with the most CPU
+	// first and at most maxListedMembers. The first Candidates of them have enough CPU to
+	// be the owner.
+	Members    []string
+	Candidates int
 	// TransferOwnership asks the other VM to take over, because the store answers that
 	// VM but not the owner.
 	TransferOwnership bool
@@ -71,20 +73,40 @@
 	return s.since != 0 && now.Sub(s.last) <= maxStreakGap && now.Sub(s.since) >= minStreak
 }
 
-// Hello records that another VM is reachable and replies with what the owner knows.
+// maxListedMembers bounds the reply to a hello, which each VM receives several times a
+// second.
+const maxListedMembers = 32
+
+// Hello records that another VM is reachable and replies with what the owner knows. An
+// owner that is still loading its state only records the VM.
 func (e *Engine) Hello(ctx context.Context, req HelloRequest) (HelloReply, error) {
 	var reply HelloReply
-	err := e.call(ctx, func(t *term) {
+	err := e.callTerm(ctx, func(t *term) bool {
 		e.updateMember(req.From, req.CPUMilli)
-		reply.Waiting = t.countWaitingJobs(e.clk.Now())
-		for _, m := range e.membersByCPU() {
-			reply.Members = append(reply.Members, m.Addr)
+		if !t.ready {
+			return false
 		}
+		reply.Waiting = t.countWaitingJobs(e.clk.Now())
+		reply.Members, reply.Candidates = e.listMembers()
 		reply.TransferOwnership = e.shouldTransferTo(t, req)
+		return true
 	})
 	return reply, err
 }
 
+// listMembers returns the addresses of the members with the most CPU, and how many of them
+// have enough CPU to be the owner.
+func (e *Engine) listMembers() (addrs []string, candidates int) {
+	members := e.membersByCPU()
+	for _, m := range members[:min(len(members), maxListedMembers)] {
+		addrs = append(addrs, m.Addr)
+		if e.hasEnoughCPU(m.cpuMilli) {
+			candidates++
+		}
+	}
+	return addrs, candidates
+}
+
 const (
 	// resignCPUFactor is how many times the owner's CPU another VM must have for a
 	// healthy owner to resign in its favour.
@@ -129,11 +151,12 @@
 	return true
 }
 
-// resignToFasterVM resigns if another VM has far more CPU. It does not ask that VM to
+// resignToFasterVM resigns if another VM has far more CPU, also while the state is still
+// loading, which takes a slow VM longest. It does not ask that VM to
 // take over in the reply to its hello, because an owner that is short of CPU replies
 // too late.
 func (e *Engine) resignToFasterVM(t *term) {
-	if e.clk.Now().Sub(t.loadedAt) < minTermBeforeResign {
+	if e.clk.Now().Sub(t.begunAt) < minTermBeforeResign {
 		return
 	}
 	for _, m := range e.members {
--- a/entry/engine/hello_test.go
+++ b/entry/engine/hello_test.go
@@ -1,12 +1,17 @@
 package engine
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/lead"
 )
 
 // TestContactStreak guards against an owner that transfers ownership right after an
@@ -52,3 +57,34 @@
 		return 0
 	}
 }
+
+// TestResignWhileLoading guards against a slow owner that keeps the term for as long as it
+// takes to load a large state, while a faster VM is alive.
+func TestResignWhileLoading(t *testing.T) {
+	t.Parallel()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	st := store.NewMemory()
+	elector := lead.New(lead.Config{Store: st, Self: lead.Holder{VM: "slow", Name: "slow-a", Addr: "a0"}}, clk, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = elector.Run(ctx) }()
+	for _, ok := elector.Term(); !ok; _, ok = elector.Term() {
+		<-elector.Changed()
+	}
+	e := New(Config{Self: lead.Holder{Name: "slow-a"}, CPUMilli: 190, Elector: elector}, clk, zap.NewNop())
+	e.term = &term{begunAt: clk.Now()}
+	clk.Advance(minTermBeforeResign)
+	done := make(chan error)
+	go func() {
+		_, err := e.Hello(ctx, HelloRequest{From: lead.Holder{Name: "fast-a", Addr: "a1"}, CPUMilli: 800})
+		done <- err
+	}()
+	(<-e.posts)()
+	if diff := cmp.Diff(rcode.NotOwner, rcode.Of(<-done)); diff != "" {
+		t.Errorf("reply while loading (-want +got):\n%s", diff)
+	}
+	e.tick()
+	if _, owner := elector.Term(); owner {
+		t.Error("the slow VM is still the owner")
+	}
+}
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -38,7 +38,7 @@
 func (e *Engine) beginTerm(lt lead.Term) {
 	ctx, cancel := context.WithCancel(e.ctx)
 	t := &term{
-		Term: lt, ctx: ctx, cancel: cancel, workers: make(map[string]*workerConn), unstoredJobs: make(map[string]int64), compactor: newCompactor(),
+		Term: lt, begunAt: e.clk.Now(), ctx: ctx, cancel: cancel, workers: make(map[string]*workerConn), unstoredJobs: make(map[string]int64), compactor: newCompactor(),
 		writer: events.NewWriter(e.cfg.Store, lead.TermKey, lt.Epoch(), lt.Token(), e.clk, e.log),
 	}
 	t.state = sched.New(sched.Config{
@@ -144,7 +144,7 @@
 	for _, id := range loaded.cancels {
 		t.state.Cancel(id)
 	}
-	t.ready, t.dirty, t.loadedAt = true, true, now
+	t.ready, t.dirty = true, true
 	e.initMaintenance(t, loaded.waves)
 	e.applyWorkerList(t, loaded.workers)
 	e.pollIdleWorkers()
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -142,7 +142,7 @@
 	// is then read less often. Nil means that it has not.
 	OwnerReachable func() bool
 	// TakeoverDelay returns how much longer than the other VMs this VM waits before it
-	// takes over from a lost owner or after a release. Nil means no delay.
+	// takes over, unless the owner asks it to. Nil means no delay.
 	TakeoverDelay func() time.Duration
 	// Eligible reports whether this VM may take over now. Nil means that it may.
 	Eligible func() bool
@@ -286,9 +286,11 @@
 		return false
 	case transferRequested, free && unchangedFor >= e.takeoverDelay(), unchangedFor >= TakeoverAfter+e.takeoverDelay():
 		return true
-	case holder.VM == e.cfg.Self.VM:
-		// The holder is an earlier process on this VM, or the reply to this VM's own
-		// takeover was lost.
+	case holder == e.cfg.Self:
+		// The reply to this VM's own takeover was lost.
+		return true
+	case holder.VM == e.cfg.Self.VM && unchangedFor >= e.takeoverDelay():
+		// The holder is an earlier process on this VM.
 		return true
 	case unchangedFor < renewInterval || e.cfg.Prober == nil:
 		return false
@@ -298,7 +300,7 @@
 	switch e.cfg.Prober.Probe(ctx, holder, e.cfg.Self) {
 	case ProbeReplaced:
 		e.log.Info("owner replaced by another incarnation", zap.String("owner", holder.Name))
-		return true
+		return unchangedFor >= e.takeoverDelay()
 	case ProbeRefused:
 		return unchangedFor >= refusedTakeoverAfter+e.takeoverDelay()
 	case ProbeInconclusive:
--- a/entry/lead/lead_test.go
+++ b/entry/lead/lead_test.go
@@ -140,6 +140,16 @@
 			p.electors[1] = New(Config{Store: p.stores[1], Self: Holder{VM: "vm0", Name: "vm0-b", Addr: "a0"}}, p.clk, zap.NewNop())
 			p.run(200*time.Millisecond, 1)
 		}, want: []int{1}},
+		"earlier process on the same VM, which is slow": {firstOwnerDead: true, do: func(p *electorPair) {
+			slow := Config{Store: p.stores[1], Self: Holder{VM: "vm0", Name: "vm0-b", Addr: "a0"}, TakeoverDelay: func() time.Duration { return time.Second }}
+			p.electors[1] = New(slow, p.clk, zap.NewNop())
+			p.run(900*time.Millisecond, 1)
+		}, want: []int{}},
+		"another incarnation answers, this VM is slow": {firstOwnerDead: true, do: func(p *electorPair) {
+			p.probers[1].result = ProbeReplaced
+			p.electors[1].cfg.TakeoverDelay = func() time.Duration { return 2 * time.Second }
+			p.run(1500*time.Millisecond, 1)
+		}},
 		"owner without the store requests transfer": {do: func(p *electorPair) {
 			p.stores[0].set(true, false)
 			p.run(AuthorityDuration, 0)
