--- a/entry/engine/advise.go
+++ b/entry/engine/advise.go
@@ -139,12 +139,14 @@
 		defer cancel()
 		var tickets []sched.Ticket
 		var valid time.Duration
-		var err error
-		if m.Name == e.cfg.Self.Name {
-			tickets, valid, err = e.cfg.Adviser.Advise(ctx, d.Step, d.Workers)
-		} else {
-			tickets, valid, err = e.cfg.RemoteAdviser.Advise(ctx, m.Addr, d.Step, d.Workers)
-		}
+		err := e.guarded("advice", func() (err error) {
+			if m.Name == e.cfg.Self.Name {
+				tickets, valid, err = e.cfg.Adviser.Advise(ctx, d.Step, d.Workers)
+			} else {
+				tickets, valid, err = e.cfg.RemoteAdviser.Advise(ctx, m.Addr, d.Step, d.Workers)
+			}
+			return err
+		})
 		validUntil := e.clk.Now().Add(valid)
 		e.post(func() {
 			if e.term != t {
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -19,6 +19,8 @@
 	"go.uber.org/zap"
 
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/guard"
+	"limpethitch.example/core/logs"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/events"
@@ -167,17 +169,19 @@
 			e.endTerm()
 			return ctx.Err()
 		case f := <-e.posts:
-			f()
+			e.protect(f)
 			e.drainPosts()
 		case <-e.cfg.Elector.Changed():
-			e.syncTerm()
+			e.protect(e.syncTerm)
 		case <-roundTimer.C:
 		case <-tick.C:
-			e.tick()
-		}
-		if wait, again := e.decide(); again {
-			roundTimer.Reset(wait)
+			e.protect(e.tick)
 		}
+		e.protect(func() {
+			if wait, again := e.decide(); again {
+				roundTimer.Reset(wait)
+			}
+		})
 	}
 }
 
@@ -187,13 +191,41 @@
 	for range maxPosts {
 		select {
 		case f := <-e.posts:
-			f()
+			e.protect(f)
 		default:
 			return
 		}
 	}
 }
 
+// protect runs f in the loop. After a panic the state may be half changed, so it ends the
+// term: the next owner recovers from what is stored.
+func (e *Engine) protect(f func()) {
+	endTerm := func(err error) {
+		e.logPanic("engine", err)
+		if e.term != nil {
+			e.cfg.Elector.Resign()
+			e.endTerm()
+		}
+	}
+	_ = guard.Run(endTerm, func() error {
+		f()
+		return nil
+	})
+}
+
+// logPanic logs and counts a panic in a component.
+func (e *Engine) logPanic(component string, err error) {
+	e.log.Error("panic", append(logs.Err(err), zap.String("component", component))...)
+	e.cfg.Metrics.CountPanic(component)
+}
+
+// guarded calls f, which does not change the loop's state, and returns its error or that of
+// a panic.
+func (e *Engine) guarded(component string, f func() error) error {
+	return guard.Run(func(err error) { e.logPanic(component, err) }, f)
+}
+
 // syncTerm begins or ends a term after the ownership record changed.
 func (e *Engine) syncTerm() {
 	t, owner := e.cfg.Elector.Term()
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -51,7 +51,11 @@
 	loadStarted := e.clk.Now()
 	go func() {
 		for ctx.Err() == nil {
-			loaded, err := e.load(ctx)
+			var loaded storedState
+			err := e.guarded("load", func() (err error) {
+				loaded, err = e.load(ctx)
+				return err
+			})
 			if err != nil {
 				e.log.Warn("failed to load state, retrying", logs.Err(err)...)
 				<-e.clk.After(loadRetryDelay)
@@ -74,17 +78,18 @@
 func (e *Engine) load(ctx context.Context) (storedState, error) {
 	var loaded storedState
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() (err error) {
+	read := func(f func() error) { group.Go(func() error { return e.guarded("load", f) }) }
+	read(func() (err error) {
 		loaded.workers, loaded.workersRev, err = e.cfg.Store.List(ctx, e.cfg.WorkerPrefix)
 		return rcode.Wrap(err, rcode.Of(err), "engine.load workers")
 	})
-	group.Go(func() (err error) {
+	read(func() (err error) {
 		loaded.segments, err = events.Load(ctx, e.cfg.Store)
 		return rcode.Wrap(err, rcode.Of(err), "engine.load")
 	})
-	group.Go(func() error { return e.loadJobs(ctx, &loaded) })
+	read(func() error { return e.loadJobs(ctx, &loaded) })
 	if e.cfg.Fleet != nil {
-		group.Go(func() (err error) {
+		read(func() (err error) {
 			loaded.waves, _, err = e.cfg.Store.List(ctx, WavePrefix)
 			return rcode.Wrap(err, rcode.Of(err), "engine.load waves")
 		})
@@ -162,12 +167,14 @@
 // compacted the revisions after the last change, it lists the prefix again.
 func (e *Engine) watch(t *term, prefix string, rev int64, onChange func(*term, store.Change), onList func([]store.KV)) {
 	for t.ctx.Err() == nil {
-		err := e.cfg.Store.Watch(t.ctx, prefix, rev+1, func(c store.Change) {
-			rev = max(rev, c.KV().ModRevision())
-			e.post(func() {
-				if e.term == t {
-					onChange(t, c)
-				}
+		err := e.guarded("watch", func() error {
+			return e.cfg.Store.Watch(t.ctx, prefix, rev+1, func(c store.Change) {
+				rev = max(rev, c.KV().ModRevision())
+				e.post(func() {
+					if e.term == t {
+						onChange(t, c)
+					}
+				})
 			})
 		})
 		if t.ctx.Err() != nil {
@@ -232,7 +239,7 @@
 
 // putWorker adds or updates a listed worker and polls it.
 func (e *Engine) putWorker(t *term, id string, value []byte) {
-	spec, ok := e.cfg.ParseWorker(id, value, e.clk.Now())
+	spec, ok := e.parseWorker(id, value)
 	if !ok {
 		e.log.Warn("invalid worker entry", zap.String("worker", id))
 		e.dropWorker(t, id)
@@ -254,6 +261,15 @@
 	e.poll(t, c)
 }
 
+// parseWorker decodes a worker's entry. An entry that causes a panic describes no worker.
+func (e *Engine) parseWorker(id string, value []byte) (spec sched.WorkerSpec, ok bool) {
+	err := e.guarded("worker entry", func() error {
+		spec, ok = e.cfg.ParseWorker(id, value, e.clk.Now())
+		return nil
+	})
+	return spec, ok && err == nil
+}
+
 // dropWorker handles the removal of a worker from the list. Its connection state stays
 // until the scheduler forgets the worker.
 func (e *Engine) dropWorker(t *term, id string) {
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -76,7 +76,11 @@
 	}
 	t.writing = true
 	go func() {
-		key, err := t.writer.Append(t.ctx, list)
+		var key string
+		err := e.guarded("journal", func() (err error) {
+			key, err = t.writer.Append(t.ctx, list)
+			return err
+		})
 		e.post(func() {
 			t.writing = false
 			if err != nil {
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -144,7 +144,11 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, wait+slack)
 		defer cancel()
-		reply, err := e.cfg.Workers.Poll(ctx, order)
+		var reply PollReply
+		err := e.guarded("poll", func() (err error) {
+			reply, err = e.cfg.Workers.Poll(ctx, order)
+			return err
+		})
 		e.post(func() {
 			release()
 			e.handlePollReply(t, c, now, reply, err)
@@ -273,7 +277,11 @@
 			break
 		}
 		ctx, cancel := context.WithTimeout(t.ctx, startTimeout)
-		outcome, err := e.cfg.Workers.Start(ctx, order)
+		var outcome sched.StartOutcome
+		err := e.guarded("start", func() (err error) {
+			outcome, err = e.cfg.Workers.Start(ctx, order)
+			return err
+		})
 		cancel()
 		if err == nil && outcome != sched.OutcomeUnknown {
 			if mayHaveStarted && outcome != sched.OutcomeStarted {
@@ -306,7 +314,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
 		defer cancel()
-		if err := e.cfg.Workers.Stop(ctx, order); err != nil {
+		if err := e.guarded("stop", func() error { return e.cfg.Workers.Stop(ctx, order) }); err != nil {
 			return
 		}
 		e.post(func() {
@@ -333,7 +341,7 @@
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
 		defer cancel()
-		if err := e.cfg.Workers.Throttle(ctx, order); err != nil {
+		if err := e.guarded("throttle", func() error { return e.cfg.Workers.Throttle(ctx, order) }); err != nil {
 			e.log.Warn("failed to throttle run", append(logs.Err(err), zap.String("task", order.Task), zap.String("worker", order.Instance))...)
 		}
 	}()
--- a/entry/graph/graph.go
+++ b/entry/graph/graph.go
@@ -25,8 +25,11 @@
 const (
 	// MaxSteps is the maximum number of steps of a job.
 	MaxSteps = 64
-	// MaxTasks is the maximum number of tasks of a step.
+	// MaxTasks is the maximum number of tasks of a job's steps together. The owner keeps a
+	// record of each.
 	MaxTasks = 10_000
+	// MaxOccurrences is the maximum number of occurrences of a schedule.
+	MaxOccurrences = 10_000
 	// MaxSpecBytes is the maximum length of a job's spec.
 	MaxSpecBytes = 4000
 )
@@ -129,11 +132,16 @@
 	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
 		problems = append(problems, "the number of steps is not between 1 and "+strconv.Itoa(MaxSteps))
 	}
-	if j.Occurrences < 0 || j.IntervalMS < 0 {
-		problems = append(problems, "the number of occurrences or the interval is negative")
+	if j.Occurrences < 0 || j.Occurrences > MaxOccurrences || j.IntervalMS < 0 {
+		problems = append(problems, "the number of occurrences is not between 0 and "+strconv.Itoa(MaxOccurrences)+", or the interval is negative")
 	}
+	tasks := 0
 	for i := range j.Steps {
 		problems = append(problems, j.Steps[i].problems(i)...)
+		tasks += min(j.Steps[i].Count, MaxTasks+1)
+	}
+	if tasks > MaxTasks {
+		problems = append(problems, "the steps have more than "+strconv.Itoa(MaxTasks)+" tasks")
 	}
 	if len(problems) > 0 {
 		return rcode.New(rcode.BadRequest, "graph.Job: %s", strings.Join(problems, "; "))
@@ -145,8 +153,8 @@
 func (s *Step) problems(index int) []string {
 	var out []string
 	name := "step " + strconv.Itoa(index)
-	if s.Count < 1 || s.Count > MaxTasks {
-		out = append(out, name+": the number of tasks is not between 1 and "+strconv.Itoa(MaxTasks))
+	if s.Count < 1 {
+		out = append(out, name+": the number of tasks is not positive")
 	}
 	if s.CPUMilli < 0 || s.MemoryMiB < 0 || s.Accelerators < 0 || s.EstimateMS < 0 {
 		out = append(out, name+": a declared resource or run time is negative")
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -16,11 +16,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcpool"
 	"storj.io/drpc/drpcserver"
 
+	"limpethitch.example/core/guard"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/entry/engine"
 	"limpethitch.example/entry/lead"
@@ -48,13 +50,25 @@
 	Deliver(ctx context.Context, key string, value []byte) error
 }
 
-// Serve answers calls on l until ctx ends.
-func Serve(ctx context.Context, l net.Listener, h Handler) error {
+// guardedMux is a drpc handler whose calls end with an error after a panic.
+type guardedMux struct {
+	drpc.Handler
+	onPanic func(error)
+}
+
+// HandleRPC implements drpc.Handler.
+func (g guardedMux) HandleRPC(stream drpc.Stream, rpc string) error {
+	return guard.Run(g.onPanic, func() error { return g.Handler.HandleRPC(stream, rpc) })
+}
+
+// Serve answers calls on l until ctx ends. onPanic is called with the error of a call that
+// panicked; other calls go on.
+func Serve(ctx context.Context, l net.Listener, h Handler, onPanic func(error)) error {
 	mux := drpcmux.New()
 	if err := DRPCRegisterRelay(mux, server{h}); err != nil {
 		return rcode.Wrap(err, rcode.Internal, "relay.Serve")
 	}
-	err := drpcserver.New(mux).Serve(ctx, l)
+	err := drpcserver.New(guardedMux{Handler: mux, onPanic: onPanic}).Serve(ctx, l)
 	if errors.Is(err, context.Canceled) || ctx.Err() != nil {
 		return ctx.Err()
 	}
--- a/entry/stats/stats.go
+++ b/entry/stats/stats.go
@@ -43,6 +43,7 @@
 	events     *prometheus.CounterVec
 	advice     *prometheus.HistogramVec
 	starts     *prometheus.CounterVec
+	panics     *prometheus.CounterVec
 	owner      prometheus.Gauge
 	runs       prometheus.Gauge
 	waiting    *prometheus.GaugeVec
@@ -70,6 +71,7 @@
 		events:     counter("events_total", "Events of the owner's journal, by kind and outcome.", "kind", "how"),
 		advice:     histogram("advice_seconds", "Duration of the owner's advice requests.", "renewal"),
 		starts:     counter("starts_total", "Start orders for workers, by outcome.", "outcome"),
+		panics:     counter("panics_total", "Panics that ended the handling of one message, by component.", "component"),
 		owner:      gauge("owner", "1 while this VM is the owner."),
 		runs:       gauge("runs", "Runs that have not ended, as known to the owner."),
 		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{
@@ -79,7 +81,7 @@
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_left_out_total", Help: "Log lines dropped because the buffer was full or the rate limit was exceeded.",
 	}, func() float64 { return float64(droppedLines()) })
-	m.registry.MustRegister(m.calls, m.results, m.firstStart, m.jobs, m.events, m.advice, m.starts, m.owner, m.runs, m.waiting, dropped,
+	m.registry.MustRegister(m.calls, m.results, m.firstStart, m.jobs, m.events, m.advice, m.starts, m.panics, m.owner, m.runs, m.waiting, dropped,
 		collectors.NewGoCollector())
 	return m
 }
@@ -87,6 +89,9 @@
 // Registry returns the registry to serve.
 func (m *Metrics) Registry() *prometheus.Registry { return m.registry }
 
+// CountPanic counts a panic in a component.
+func (m *Metrics) CountPanic(component string) { m.panics.WithLabelValues(component).Inc() }
+
 // SetLabelValues sets the queues and client accounts that get their own label values.
 // It deletes the series of those that are no longer listed.
 func (m *Metrics) SetLabelValues(queues, teams []string) {
