Have the VM with the later configuration decide on writes for another VM

Cause, by reading: a VM that cannot reach the store has other VMs write for it. It checked the caller's key against the configuration it last read, which may be as old as the partition, and the writing VM did not look at the key. So a key that was withdrawn meanwhile was in use again. Change: the request to write carries the caller's host, path and key and the version of the configuration that it was checked against; a VM with a later version checks again. One with an earlier version does not, since it may not know a new key yet. Test: TestWithdrawnKeyOnPartitionedVM, red before in its first row (the write succeeded).

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -44,7 +44,7 @@
 type Peers interface {
 	Job(ctx context.Context, addr, id string) (engine.JobStatus, error)
 	Hello(ctx context.Context, addr string, req engine.HelloRequest) (engine.HelloReply, error)
-	Create(ctx context.Context, addr, key string, value []byte) rcode.Code
+	Create(ctx context.Context, addr string, req engine.CreateRequest) rcode.Code
 	Deliver(ctx context.Context, addr, key string, value []byte) error
 }
 
@@ -179,7 +179,7 @@
 	if err != nil {
 		return rcode.Internal
 	}
-	code = s.create(ctx, engine.JobPrefix+id, raw, rcode.AcceptUnknown)
+	code = s.create(ctx, c, engine.JobPrefix+id, raw, rcode.AcceptUnknown)
 	s.log.Info("job submitted", zap.String("id", id), zap.String("queue", q.Name), zap.String("team", team),
 		zap.Int64("rules", s.ruleSet.Load().Version()), zap.String("code", string(code)),
 		zap.Int64("took_ms", s.clk.Now().Sub(start).Milliseconds()))
@@ -205,7 +205,7 @@
 	if !exists {
 		return rcode.JobUnknown
 	}
-	code = s.create(ctx, engine.CancelPrefix+id, []byte("{}"), rcode.OutcomeUnknown)
+	code = s.create(ctx, c, engine.CancelPrefix+id, []byte("{}"), rcode.OutcomeUnknown)
 	s.log.Info("job cancelled", zap.String("id", id), zap.String("code", string(code)))
 	return code
 }
--- a/entry/accept/accept_test.go
+++ b/entry/accept/accept_test.go
@@ -50,8 +50,10 @@
 // one repeats.
 type fakePeers struct {
 	codes []rcode.Code
-	// asked holds the addresses that were asked to write.
-	asked []string
+	// asked holds the addresses that were asked to write, and remote, if it is set, is the
+	// VM that does so.
+	asked  []string
+	remote *Service
 	// unreachable makes hellos fail.
 	unreachable bool
 	// delivered receives the owner's address and the key of each delivery.
@@ -69,8 +71,11 @@
 	return engine.HelloReply{}, rcode.New(rcode.NotOwner, "scripted error")
 }
 
-func (p *fakePeers) Create(_ context.Context, addr, _ string, _ []byte) rcode.Code {
+func (p *fakePeers) Create(ctx context.Context, addr string, req engine.CreateRequest) rcode.Code {
 	p.asked = append(p.asked, addr)
+	if p.remote != nil {
+		return p.remote.Create(ctx, req)
+	}
 	code := p.codes[0]
 	if len(p.codes) > 1 {
 		p.codes = p.codes[1:]
@@ -148,7 +153,7 @@
 	svc, clk := newService(&scriptedStore{Memory: store.NewMemory(), writes: []rcode.Code{rcode.OutcomeUnknown, rcode.StoreUnavailable}},
 		&fakePeers{codes: []rcode.Code{rcode.StoreUnavailable}})
 	start := clk.Now()
-	code := svc.create(context.Background(), "k", nil, rcode.AcceptUnknown)
+	code := svc.create(context.Background(), Call{}, "k", nil, rcode.AcceptUnknown)
 	if diff := cmp.Diff(rcode.AcceptUnknown, code); diff != "" {
 		t.Errorf("code (-want +got):\n%s", diff)
 	}
@@ -208,7 +213,7 @@
 					t.Fatal(err)
 				}
 			}
-			if diff := cmp.Diff(rcode.OK, svc.Create(context.Background(), "k", []byte("v"))); diff != "" {
+			if diff := cmp.Diff(rcode.OK, svc.write(context.Background(), "k", []byte("v"))); diff != "" {
 				t.Errorf("code (-want +got):\n%s", diff)
 			}
 			var got []string
@@ -266,3 +271,36 @@
 		})
 	}
 }
+
+// TestWithdrawnKeyOnPartitionedVM guards against a VM that cannot reach the store and goes
+// on accepting jobs, through other VMs, with an API key that was withdrawn meanwhile. A VM
+// with an earlier configuration than the caller's must not refuse a new key.
+func TestWithdrawnKeyOnPartitionedVM(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000aa"
+	tests := map[string]struct {
+		version int64
+		keys    []string
+		code    rcode.Code
+	}{
+		"withdrawn in a later version":  {version: 2, code: rcode.KeyMissing},
+		"kept in a later version":       {version: 2, keys: []string{"k"}, code: rcode.OK},
+		"not yet in an earlier version": {version: 0, code: rcode.OK},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			remote, _ := newService(store.NewMemory(), &fakePeers{})
+			remote.SetRules(rules.New(tt.version, []rules.Queue{{Name: "q", Host: "h", Prefix: "/q/", Service: "s"}},
+				[]rules.Team{{Name: "a", APIKeys: tt.keys}}, rules.Limits{}))
+			svc, _ := newService(&scriptedStore{Memory: store.NewMemory(), writes: []rcode.Code{rcode.StoreUnavailable}}, &fakePeers{remote: remote})
+			svc.AddMembers([]string{"a1"})
+			code := svc.Submit(context.Background(), Call{Host: "h", Path: "/q/" + id, Key: "k"}, func(string) (*graph.Job, error) {
+				return &graph.Job{Steps: []graph.Step{{Count: 1}}}, nil
+			})
+			if diff := cmp.Diff(tt.code, code); diff != "" {
+				t.Errorf("code (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/accept/write.go
+++ b/entry/accept/write.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/engine"
@@ -31,20 +33,21 @@
 // create stores a key unless it already exists, either directly or through another
 // VM when the store does not answer this one. If nothing can have been written, it
 // returns rcode.StoreUnavailable without waiting for the store, so that the caller
-// can immediately try another VM. If a write may have taken effect, "not accepted"
+// can immediately try another VM, or the code with which a VM refused that has a later
+// configuration. If a write may have taken effect, "not accepted"
 // could be untrue: it then retries for maxUnknownRetry and returns the code unknown
 // if the outcome is still not known.
-func (s *Service) create(ctx context.Context, key string, raw []byte, unknown rcode.Code) rcode.Code {
+func (s *Service) create(ctx context.Context, c Call, key string, raw []byte, unknown rcode.Code) rcode.Code {
 	maybeStored := false
 	end := s.clk.Now().Add(maxUnknownRetry)
 	for {
-		code := s.createOnce(ctx, key, raw)
+		code := s.createOnce(ctx, c, key, raw)
 		maybeStored = maybeStored || code == rcode.OutcomeUnknown
 		switch {
 		case code == rcode.OK:
 			return rcode.OK
 		case !maybeStored:
-			return rcode.StoreUnavailable
+			return code
 		case ctx.Err() != nil || s.clk.Now() >= end:
 			return unknown
 		}
@@ -57,37 +60,55 @@
 
 // createOnce tries to store a key once directly and then once through each peer. If
 // no attempt succeeds, it returns rcode.OutcomeUnknown if any may have taken effect.
-func (s *Service) createOnce(ctx context.Context, key string, raw []byte) rcode.Code {
+func (s *Service) createOnce(ctx context.Context, c Call, key string, raw []byte) rcode.Code {
 	worst := rcode.StoreUnavailable
-	switch s.Create(ctx, key, raw) {
+	switch s.write(ctx, key, raw) {
 	case rcode.OK:
 		return rcode.OK
 	case rcode.OutcomeUnknown:
 		worst = rcode.OutcomeUnknown
 	default:
 	}
+	req := engine.CreateRequest{Key: key, Value: raw, Host: c.Host, Path: c.Path, APIKey: c.Key, RulesVersion: s.ruleSet.Load().Version()}
 	for _, addr := range s.peerAddrs() {
 		if !s.peerAnswers(ctx, addr) {
 			continue
 		}
 		callCtx, cancel := context.WithTimeout(ctx, peerTimeout)
-		code := s.cfg.Peers.Create(callCtx, addr, key, raw)
+		code := s.cfg.Peers.Create(callCtx, addr, req)
 		cancel()
 		switch code {
 		case rcode.OK:
 			return rcode.OK
 		case rcode.OutcomeUnknown:
 			worst = rcode.OutcomeUnknown
+		case rcode.KeyMissing, rcode.QueueUnknown:
+			if worst != rcode.OutcomeUnknown {
+				return code
+			}
 		default:
 		}
 	}
 	return worst
 }
 
-// Create stores a key directly unless it already exists. It returns
+// Create stores a key for a VM that cannot reach the store. That VM may not have heard of a
+// withdrawn API key or queue, so a later configuration of this VM decides.
+func (s *Service) Create(ctx context.Context, req engine.CreateRequest) rcode.Code {
+	if ruleSet := s.ruleSet.Load(); ruleSet != nil && req.RulesVersion > 0 && ruleSet.Version() > req.RulesVersion {
+		if _, _, code := s.admit(Call{Host: req.Host, Path: req.Path, Key: req.APIKey}); code != rcode.OK {
+			s.log.Warn("refused to store for a VM with an earlier configuration", zap.String("key", req.Key), zap.String("code", string(code)),
+				zap.Int64("rules", ruleSet.Version()), zap.Int64("earlier_rules", req.RulesVersion))
+			return code
+		}
+	}
+	return s.write(ctx, req.Key, req.Value)
+}
+
+// write stores a key directly unless it already exists. It returns
 // rcode.OutcomeUnknown when the write may still take effect, and sends nothing while
 // the store appears unreachable.
-func (s *Service) Create(ctx context.Context, key string, raw []byte) rcode.Code {
+func (s *Service) write(ctx context.Context, key string, raw []byte) rcode.Code {
 	if !s.storeBreaker.allow(ctx) {
 		return rcode.StoreUnavailable
 	}
--- a/entry/engine/hello.go
+++ b/entry/engine/hello.go
@@ -19,6 +19,17 @@
 	CPUMilli int64
 }
 
+// CreateRequest asks a VM to create a key in the store for a VM that cannot reach it.
+type CreateRequest struct {
+	Key   string
+	Value []byte
+	// Host, Path and APIKey are those of the caller's request, and RulesVersion is the
+	// version of the configuration that it was checked against, or 0 from a VM of an earlier
+	// build. A VM that cannot reach the store may have missed a later version.
+	Host, Path, APIKey string
+	RulesVersion       int64
+}
+
 // HelloReply is the reply to a HelloRequest.
 type HelloReply struct {
 	// Owner is the owner as known to a VM that is not the owner itself. It comes with an
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -44,7 +44,7 @@
 	Hello(ctx context.Context, from engine.HelloRequest) (engine.HelloReply, error)
 	// Owner returns the owner as known to this VM.
 	Owner() lead.Holder
-	Create(ctx context.Context, key string, value []byte) rcode.Code
+	Create(ctx context.Context, req engine.CreateRequest) rcode.Code
 	Job(ctx context.Context, id string) (engine.JobStatus, error)
 	Advise(ctx context.Context, step string, workers []string) ([]sched.Ticket, time.Duration, error)
 	Deliver(ctx context.Context, key string, value []byte) error
@@ -95,7 +95,9 @@
 
 // Create implements DRPCRelayServer.
 func (s server) Create(ctx context.Context, r *CreateRequest) (*CreateReply, error) {
-	return &CreateReply{Code: string(s.h.Create(ctx, r.GetKey(), r.GetValue()))}, nil
+	return &CreateReply{Code: string(s.h.Create(ctx, engine.CreateRequest{
+		Key: r.GetKey(), Value: r.GetValue(), Host: r.GetHost(), Path: r.GetPath(), APIKey: r.GetApiKey(), RulesVersion: r.GetRulesVersion(),
+	}))}, nil
 }
 
 // Job implements DRPCRelayServer.
@@ -187,10 +189,12 @@
 }
 
 // Create asks the VM at addr to create a key in the store.
-func (c *Client) Create(ctx context.Context, addr, key string, value []byte) rcode.Code {
+func (c *Client) Create(ctx context.Context, addr string, req engine.CreateRequest) rcode.Code {
 	conn := c.conn(ctx, addr)
 	defer func() { _ = conn.Close() }()
-	resp, err := NewDRPCRelayClient(conn).Create(ctx, &CreateRequest{Key: key, Value: value})
+	resp, err := NewDRPCRelayClient(conn).Create(ctx, &CreateRequest{
+		Key: req.Key, Value: req.Value, Host: req.Host, Path: req.Path, ApiKey: req.APIKey, RulesVersion: req.RulesVersion,
+	})
 	switch {
 	case err == nil:
 		return rcode.Code(resp.GetCode())
