Request advice while the events of a round are being stored

Ruled out: a slow advising service (calls took 20 to 80 ms), lost VMs (six were known). Change: while a round is being written, waiting steps without an answer are asked about, in the order of their ranks; this starts nothing and records nothing. A round stops examining a queue's steps once eight of them found no free VM to call, so that its cost does not grow with the backlog. Tests: TestAdviceDuringWrite, TestRequestAdvice.

--- /dev/null
+++ b/entry/engine/advise_test.go
@@ -0,0 +1,46 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/entry/rules"
+	"limpethitch.example/entry/sched"
+)
+
+// fakeAdviser allows every worker and reports the steps that it was asked about.
+type fakeAdviser struct{ steps chan string }
+
+func (a fakeAdviser) Advise(_ context.Context, step string, workers []string) ([]sched.Ticket, time.Duration, error) {
+	a.steps <- step
+	var tickets []sched.Ticket
+	for _, w := range workers {
+		tickets = append(tickets, sched.Ticket{Worker: w, Value: "t"})
+	}
+	return tickets, 10 * time.Second, nil
+}
+
+// TestAdviceDuringWrite guards against jobs that wait for the store's answer to a write
+// before they are even asked about at the advising service.
+func TestAdviceDuringWrite(t *testing.T) {
+	t.Parallel()
+	adviser := fakeAdviser{steps: make(chan string, 16)}
+	h := newHarnessWith(t, func(c *Config) { c.Adviser = adviser })
+	h.engine.SetRules(rules.New(2, []rules.Queue{{
+		Name: "q", Service: "svc", MaxAttempts: 2, StretchFactor: 2, Advice: &rules.AdviceConfig{BaseMS: 1, PerWorkerMS: 0.1},
+	}}, nil, rules.Limits{}))
+	h.store.setClosed(true)
+	h.submit(t)
+	<-adviser.steps
+	<-h.store.refused // the start of the first job waits to be stored
+	const second = "00000000000000bb"
+	h.submitAs(t, second)
+	if diff := cmp.Diff(second+".0.0", <-adviser.steps); diff != "" {
+		t.Errorf("step asked about (-want +got):\n%s", diff)
+	}
+	h.store.setClosed(false)
+	h.waitForStatus(t, func(s JobStatus) bool { return s.State == sched.JobDone })
+}
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -129,6 +129,7 @@
 	storedThrough       int64            // the last round whose events are stored
 	round               int64            // the round being written, or the last one written
 	decidedAt           clock.Mono       // when the last round was decided
+	advisedAt           clock.Mono       // when advice was last requested during a write
 	dirty               bool             // something has changed since then
 	unstoredJobs        map[string]int64 // finished jobs, with the round that stores the end
 	waitingJobs         map[string]int   // cached result of sched.State.Pending, by queue
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -10,6 +10,10 @@
 	"limpethitch.example/entry/sched"
 )
 
+// adviceDuringWriteInterval is the time between two requests for advice while a round is
+// being written. A store that answers as usual is faster.
+const adviceDuringWriteInterval = 20 * time.Millisecond
+
 // loadLogInterval is the time between two log lines about the load.
 const loadLogInterval = time.Second
 
@@ -40,16 +44,22 @@
 		return 0, false
 	}
 	e.dispatch(t, t.state.TakeDecisions(), nil)
-	if t.writing || !t.dirty {
+	if !t.dirty {
 		return 0, false
 	}
 	now := e.clk.Now()
-	if wait := t.decidedAt.Add(minRoundInterval).Sub(now); wait > 0 {
+	if wait := max(t.decidedAt, t.advisedAt).Add(minRoundInterval).Sub(now); wait > 0 {
 		return wait, true
 	}
 	if _, ok := e.cfg.Elector.Authority(); !ok {
 		return tickInterval, true
 	}
+	if t.writing {
+		t.advisedAt = now
+		t.state.SetNow(now, e.clk.Wall().UnixMilli())
+		e.dispatch(t, t.state.RequestAdvice(now), nil)
+		return adviceDuringWriteInterval, true
+	}
 	t.dirty = false
 	t.decidedAt = now
 	t.state.SetNow(now, e.clk.Wall().UnixMilli())
--- a/entry/sched/advice.go
+++ b/entry/sched/advice.go
@@ -80,7 +80,7 @@
 		return
 	}
 	if st.advice.answered == nil {
-		s.requestAdvice(st, s.candidates(st))
+		s.requestFurtherAdvice(st)
 		return
 	}
 	fits := s.findFits(st, st.unassigned, func(w *worker) bool { return s.isAllowed(st, w) && !s.hasTicket(st, w) })
@@ -89,7 +89,22 @@
 		return
 	}
 	if s.now.Sub(st.advice.requestedAt) >= adviceRetryInterval {
-		s.requestAdvice(st, s.candidates(st))
+		s.requestFurtherAdvice(st)
+	}
+}
+
+// maxBusySteps is the number of steps of a queue for which no VM was free after which the
+// others are not examined in the same round.
+const maxBusySteps = 8
+
+// requestFurtherAdvice requests advice about workers that a step was not asked about yet.
+func (s *State) requestFurtherAdvice(st *step) {
+	queue := st.job.doc.Queue
+	if s.scratch.busyQueues[queue] >= maxBusySteps {
+		return
+	}
+	if workers := s.candidates(st); len(workers) > 0 && !s.requestAdvice(st, workers) {
+		s.scratch.busyQueues[queue]++
 	}
 }
 
@@ -101,7 +116,7 @@
 		return false
 	}
 	if st.advice.answered == nil {
-		s.requestAdvice(st, s.candidates(st))
+		s.requestFurtherAdvice(st)
 		return true
 	}
 	if fits := s.gangFits(st, need, func(w *worker) bool { return s.isAllowed(st, w) }); fits != nil {
@@ -111,7 +126,7 @@
 		return true
 	}
 	if s.now.Sub(st.advice.requestedAt) >= adviceRetryInterval && s.totalCapacity(st, need) >= need {
-		s.requestAdvice(st, s.candidates(st))
+		s.requestFurtherAdvice(st)
 	}
 	return false
 }
--- a/entry/sched/advice_test.go
+++ b/entry/sched/advice_test.go
@@ -66,3 +66,30 @@
 		t.Errorf("steps with advice requests (-want +got):\n%s", diff)
 	}
 }
+
+// TestRequestAdvice guards against steps that are not asked about while the events of a
+// round are being stored, against starts or events at that time, and against a round that
+// examines all waiting steps while no VM is free to call the advising service.
+func TestRequestAdvice(t *testing.T) {
+	t.Parallel()
+	slots := 0
+	s := newBusyState(&slots)
+	for i := range 20 {
+		s.AddJob(newJobInQueue(i, "slow", graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 1000}))
+	}
+	s.RequestAdvice(testNow)
+	if diff := cmp.Diff(map[string]int{"slow": maxBusySteps}, s.scratch.busyQueues); diff != "" {
+		t.Errorf("steps examined without a free VM (-want +got):\n%s", diff)
+	}
+	slots = 2
+	var got []string
+	for _, d := range s.RequestAdvice(testNow.Add(20 * time.Millisecond)) {
+		got = append(got, fmt.Sprintf("%T", d))
+	}
+	if diff := cmp.Diff([]string{"sched.RequestAdvice", "sched.RequestAdvice"}, got); diff != "" {
+		t.Errorf("decisions (-want +got):\n%s", diff)
+	}
+	if events := s.TakeEvents(); len(events) > 0 {
+		t.Errorf("events %v", events)
+	}
+}
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -63,6 +63,9 @@
 // scratch holds buffers that are reused between decisions.
 type scratch struct {
 	fits []fit
+	// busyQueues counts, by queue, the steps for which no VM was free to call the advising
+	// service in this round.
+	busyQueues map[string]int
 }
 
 // Decide expires, stops, moves and starts runs as of now and returns the resulting
@@ -87,9 +90,24 @@
 	return out
 }
 
-// placeWaiting sorts the waiting steps by rank and starts the tasks that fit. It
-// renews the capacity reservations for gangs that do not fit.
-func (s *State) placeWaiting() {
+// RequestAdvice requests advice as of now for waiting steps that have received none, and
+// returns these decisions. It starts nothing and records no events, so it may be called
+// while the events of a round are being stored: with a slow store, steps would otherwise wait
+// for one write after the other before they are even asked about.
+func (s *State) RequestAdvice(now clock.Mono) []Decision {
+	s.now = max(s.now, now)
+	s.sortWaiting()
+	for _, st := range s.waiting {
+		if st.job.queue.Advice != nil && st.advice.answered == nil && !s.waitingForAdvice(st) {
+			s.requestFurtherAdvice(st)
+		}
+	}
+	return s.TakeDecisions()
+}
+
+// sortWaiting drops the steps that no longer wait and sorts the others by rank.
+func (s *State) sortWaiting() {
+	clear(s.scratch.busyQueues)
 	keep := s.waiting[:0]
 	for _, st := range s.waiting {
 		if st.job.final() || st.remaining == 0 || st.unassigned == 0 {
@@ -103,6 +121,12 @@
 	clear(s.waiting[len(keep):])
 	s.waiting = keep
 	slices.SortStableFunc(s.waiting, func(a, b *step) int { return a.rank.compare(b.rank) })
+}
+
+// placeWaiting starts the tasks of waiting steps that fit, in the order of their ranks. It
+// renews the capacity reservations for gangs that do not fit.
+func (s *State) placeWaiting() {
+	s.sortWaiting()
 	for _, w := range s.workerList {
 		w.reservedFor = nil
 	}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -296,6 +296,7 @@
 	return &State{
 		cfg: cfg, outOfService: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), teams: make(map[string]*team), cancelledEarly: make(map[string]bool),
+		scratch: scratch{busyQueues: make(map[string]int)},
 	}
 }
 
