--- a/entry/accept/write.go
+++ b/entry/accept/write.go
@@ -33,10 +33,10 @@
 // create stores a key unless it already exists, either directly or through another
 // VM when the store does not answer this one. If nothing can have been written, it
 // returns rcode.StoreUnavailable without waiting for the store, so that the caller
-// can immediately try another VM, or the code with which a VM refused that has a later
-// configuration. If a write may have taken effect, "not accepted"
-// could be untrue: it then retries for maxUnknownRetry and returns the code unknown
-// if the outcome is still not known.
+// can immediately try another VM, or the code with which a VM that has a later
+// configuration refused. If a write may have taken effect, "not accepted" could be
+// untrue: it then retries for maxUnknownRetry and returns the code unknown if the
+// outcome is still not known.
 func (s *Service) create(ctx context.Context, c Call, key string, raw []byte, unknown rcode.Code) rcode.Code {
 	maybeStored := false
 	end := s.clk.Now().Add(maxUnknownRetry)
