Look up workers by free CPU, and bound the work for overdue steps

Cause: a round examined every worker for every waiting step. Ruled out: a slow order or retry (workers refuse orders after 2 s). Change: open workers are kept in order of free CPU, steps with advice look at their allowed workers only, gangs group their fits by rack once, stops and stalls are checked every 100 ms. Steps whose result has no value any more are examined 256 a round, the one examined longest ago first. Tests: TestRoundCost, TestOverdueBacklog, TestIndex; the fault model compares the index with the workers.

--- a/entry/sched/advice.go
+++ b/entry/sched/advice.go
@@ -1,7 +1,7 @@
 package sched
 
 import (
-	"cmp"
+	"iter"
 	"slices"
 	"time"
 
@@ -18,15 +18,16 @@
 	pending     int
 	requestedAt clock.Mono
 	// answered holds the IDs of the workers that advice was received about, allowed those
-	// of them that may run the step. Both are nil until the first answer.
+	// of them that may run the step, with their latest tickets. Both are nil until the
+	// first answer.
 	answered map[string]bool
-	allowed  map[string]bool
-	tickets  map[string]ticket // by worker ID
+	allowed  map[string]ticket
 	// reserved is the capacity reserved while the tickets of a gang are renewed.
 	reserved []fit
 }
 
-// ticket is a worker's ticket and when it expires.
+// ticket is a worker's ticket and when it expires. A worker that refused its ticket has
+// the zero value.
 type ticket struct {
 	value     string
 	expiresAt clock.Mono
@@ -56,21 +57,51 @@
 	maxAskedWorkers = 100
 )
 
-func (a *adviceState) ticket(w *worker) string { return a.tickets[w.spec.ID].value }
+func (a *adviceState) ticket(w *worker) string { return a.allowed[w.spec.ID].value }
 
-// hasTicket reports whether a step holds a valid ticket for a worker or needs none.
-func (s *State) hasTicket(st *step, w *worker) bool {
-	if st.job.queue.Advice == nil {
-		return true
+// dropTicket forgets the ticket for a worker that refused it.
+func (a *adviceState) dropTicket(workerID string) {
+	if _, ok := a.allowed[workerID]; ok {
+		a.allowed[workerID] = ticket{}
 	}
-	t, ok := st.advice.tickets[w.spec.ID]
-	return ok && t.expiresAt > s.now.Add(ticketMargin)
 }
 
-// isAllowed reports whether a step may run on a worker according to the advice received
-// so far.
-func (s *State) isAllowed(st *step, w *worker) bool {
-	return st.job.queue.Advice == nil || st.advice.allowed[w.spec.ID]
+// ticketFilter selects workers by the tickets that a step holds for them.
+type ticketFilter string
+
+const (
+	withTicket          ticketFilter = "with ticket"
+	withoutTicket       ticketFilter = "without ticket"
+	withOrWithoutTicket ticketFilter = "with or without ticket"
+)
+
+// matches reports whether the filter selects workers whose ticket is valid, or not valid.
+func (f ticketFilter) matches(valid bool) bool {
+	return f == withOrWithoutTicket || valid == (f == withTicket)
+}
+
+// allowedWorkers iterates over the workers that a step may run on according to the advice
+// received so far, as far as the filter selects them. Without an advising service these are
+// all open workers with the given free CPU, in thousandths of a core, each with a valid
+// ticket.
+func (s *State) allowedWorkers(st *step, tickets ticketFilter, freeCPU int64) iter.Seq[*worker] {
+	if st.job.queue.Advice == nil {
+		if !tickets.matches(true) {
+			return slices.Values[[]*worker](nil)
+		}
+		return slices.Values(s.index.withFreeCPU(freeCPU))
+	}
+	return func(yield func(*worker) bool) {
+		expiry := s.now.Add(ticketMargin)
+		for id, t := range st.advice.allowed {
+			if !tickets.matches(t.expiresAt > expiry) {
+				continue
+			}
+			if w := s.workers[id]; w != nil && !yield(w) {
+				return
+			}
+		}
+	}
 }
 
 // requestAdviceForTasks requests advice for the tasks of a step that were not placed.
@@ -83,7 +114,7 @@
 		s.requestFurtherAdvice(st)
 		return
 	}
-	fits := s.findFits(st, st.unassigned, func(w *worker) bool { return s.isAllowed(st, w) && !s.hasTicket(st, w) })
+	fits := s.findFits(st, st.unassigned, withoutTicket)
 	if len(fits) > 0 {
 		s.requestAdvice(st, firstWorkers(fits, maxRequests*maxAskedWorkers))
 		return
@@ -119,7 +150,7 @@
 		s.requestFurtherAdvice(st)
 		return true
 	}
-	if fits := s.gangFits(st, need, func(w *worker) bool { return s.isAllowed(st, w) }); fits != nil {
+	if fits := s.gangFits(st, need, withOrWithoutTicket); fits != nil {
 		if s.requestAdvice(st, firstWorkers(fits, maxRequests*maxAskedWorkers)) {
 			s.reserveForGang(st, fits, need)
 		}
@@ -135,8 +166,9 @@
 // are allowed or were not asked about yet.
 func (s *State) totalCapacity(st *step, limit int) int {
 	n := 0
-	for _, w := range s.workerList {
-		if s.eligible(w, st) && (s.isAllowed(st, w) || !st.advice.answered[w.spec.ID]) {
+	for _, w := range s.index.withFreeCPU(st.size.CPUMilli()) {
+		_, allowed := st.advice.allowed[w.spec.ID]
+		if suits(w, st) && (allowed || !st.advice.answered[w.spec.ID]) {
 			n += s.capacityFor(w, st, limit-n)
 		}
 		if n >= limit {
@@ -168,30 +200,29 @@
 // Before the first answer it includes workers without free capacity. It returns so many
 // that the step's tasks are expected to fit on the allowed ones.
 func (s *State) candidates(st *step) []*worker {
-	var list []fit
-	for _, w := range s.workerList {
-		if !s.eligible(w, st) || st.advice.answered[w.spec.ID] || !st.size.Fits(w.spec.Capacity) {
+	var list []*worker
+	limit := max(minAskedWorkers, workersPerBase(st.job.queue.Advice))
+	need := spareRoom * float64(st.unassigned) / s.allowedShares.share(st.job.doc.Queue)
+	open := s.index.open
+	if st.advice.answered != nil {
+		open = s.index.withFreeCPU(st.size.CPUMilli())
+	}
+	for _, w := range open {
+		if len(list) >= limit && need <= 0 || len(list) == maxRequests*maxAskedWorkers {
+			break
+		}
+		if !suits(w, st) || st.advice.answered[w.spec.ID] || !st.size.Fits(w.spec.Capacity) {
 			continue
 		}
 		n := s.capacityFor(w, st, st.unassigned)
 		if st.advice.answered != nil && n == 0 {
 			continue
 		}
-		list = append(list, fit{worker: w, count: n, cost: -float64(w.free().CPUMilli())})
-	}
-	slices.SortFunc(list, func(a, b fit) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
-	limit := max(minAskedWorkers, workersPerBase(st.job.queue.Advice))
-	need := spareRoom * float64(st.unassigned) / s.allowedShares.share(st.job.doc.Queue)
-	for i, f := range list {
-		if i >= limit && need <= 0 || i == maxRequests*maxAskedWorkers {
-			return firstWorkers(list, i)
-		}
-		whenEmpty := fitCount(f.worker.spec.Capacity.CPUMilli(), st.size.CPUMilli(), st.unassigned)
-		need -= max(float64(f.count), emptyRoomShare*float64(whenEmpty))
+		whenEmpty := fitCount(w.spec.Capacity.CPUMilli(), st.size.CPUMilli(), st.unassigned)
+		need -= max(float64(n), emptyRoomShare*float64(whenEmpty))
+		list = append(list, w)
 	}
-	return firstWorkers(list, len(list))
+	return list
 }
 
 // workersPerBase returns the number of workers for which a call to the advising service
@@ -243,6 +274,7 @@
 		need -= n
 		f.count = n
 		f.worker.used = f.worker.used.Add(scale(st.size, n))
+		s.index.update(f.worker, f.worker.open)
 		st.advice.reserved = append(st.advice.reserved, f)
 	}
 }
@@ -251,6 +283,7 @@
 func (s *State) releaseReserved(st *step) {
 	for _, f := range st.advice.reserved {
 		f.worker.used = f.worker.used.Sub(scale(st.size, f.count))
+		s.index.update(f.worker, f.worker.open)
 	}
 	st.advice.reserved = nil
 }
@@ -279,14 +312,13 @@
 		s.allowedShares.add(st.job.doc.Queue, float64(len(tickets))/float64(len(asked)))
 	}
 	if a.answered == nil {
-		a.answered, a.allowed, a.tickets = make(map[string]bool), make(map[string]bool), make(map[string]ticket)
+		a.answered, a.allowed = make(map[string]bool), make(map[string]ticket)
 	}
 	for _, id := range asked {
 		a.answered[id] = true
 	}
 	for _, t := range tickets {
-		a.allowed[t.Worker] = true
-		a.tickets[t.Worker] = ticket{value: t.Value, expiresAt: until}
+		a.allowed[t.Worker] = ticket{value: t.Value, expiresAt: until}
 	}
 }
 
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -62,10 +62,13 @@
 
 // scratch holds buffers that are reused between decisions.
 type scratch struct {
-	fits []fit
+	fits    []fit
+	overdue []*step
 	// busyQueues counts, by queue, the steps for which no VM was free to call the advising
 	// service in this round.
 	busyQueues map[string]int
+	// examined counts the workers examined for waiting steps in this round.
+	examined int
 }
 
 // Decide expires, stops, moves and starts runs as of now and returns the resulting
@@ -75,8 +78,11 @@
 	s.openDueOccurrences()
 	s.endExpiredRuns()
 	s.duplicateUnresponsive()
-	s.resendStops()
-	s.stopStalled()
+	if s.now.Sub(s.runsCheckedAt) >= runCheckInterval {
+		s.runsCheckedAt = s.now
+		s.resendStops()
+		s.stopStalled()
+	}
 	s.drainWorkers()
 	s.placeWaiting()
 	return s.TakeDecisions()
@@ -97,6 +103,7 @@
 func (s *State) RequestAdvice(now clock.Mono) []Decision {
 	s.now = max(s.now, now)
 	s.sortWaiting()
+	s.indexWorkers()
 	for _, st := range s.waiting {
 		if st.job.queue.Advice != nil && st.advice.answered == nil && !s.waitingForAdvice(st) {
 			s.requestFurtherAdvice(st)
@@ -105,17 +112,31 @@
 	return s.TakeDecisions()
 }
 
-// sortWaiting drops the steps that no longer wait and sorts the others by rank.
+// stillWaits reports whether a step has tasks that wait for a worker. A step that has none
+// leaves the waiting steps.
+func (s *State) stillWaits(st *step) bool {
+	if st.job.final() || st.remaining == 0 || st.unassigned == 0 {
+		st.queued = false
+		s.releaseReserved(st)
+		return false
+	}
+	return true
+}
+
+// sortWaiting drops the steps that no longer wait and sorts the others by rank. Steps whose
+// result has no value any more move to the overdue ones.
 func (s *State) sortWaiting() {
 	clear(s.scratch.busyQueues)
 	keep := s.waiting[:0]
 	for _, st := range s.waiting {
-		if st.job.final() || st.remaining == 0 || st.unassigned == 0 {
-			st.queued = false
-			s.releaseReserved(st)
+		if !s.stillWaits(st) {
 			continue
 		}
 		st.rank = s.rankOf(st)
+		if st.rank.class == classWorthless {
+			s.overdue = append(s.overdue, st)
+			continue
+		}
 		keep = append(keep, st)
 	}
 	clear(s.waiting[len(keep):])
@@ -127,21 +148,54 @@
 // renews the capacity reservations for gangs that do not fit.
 func (s *State) placeWaiting() {
 	s.sortWaiting()
+	s.indexWorkers()
 	for _, w := range s.workerList {
 		w.reservedFor = nil
 	}
 	reservedGangs := 0
 	for _, st := range s.waiting {
-		if st.spec.Gang {
-			if !s.placeGang(st) && st.rank.class == classOnTime && reservedGangs < maxReservedGangs && s.now.Sub(st.readyAt) >= reserveAfter {
-				if s.reserveCapacity(st) {
-					reservedGangs++
-				}
+		if !s.place(st) && st.rank.class == classOnTime && reservedGangs < maxReservedGangs && s.now.Sub(st.readyAt) >= reserveAfter {
+			if s.reserveCapacity(st) {
+				reservedGangs++
 			}
+		}
+	}
+	s.placeOverdue()
+}
+
+// maxOverduePerRound is the number of overdue steps that a round examines. They may be many
+// after an outage, and a round must not take longer for each of them.
+const maxOverduePerRound = 256
+
+// placeOverdue starts tasks of the overdue steps that were examined longest ago, in the
+// order of their ranks.
+func (s *State) placeOverdue() {
+	n := min(maxOverduePerRound, len(s.overdue))
+	batch := append(s.scratch.overdue[:0], s.overdue[:n]...)
+	clear(s.overdue[:n])
+	s.overdue = s.overdue[n:]
+	slices.SortStableFunc(batch, func(a, b *step) int { return a.rank.compare(b.rank) })
+	for _, st := range batch {
+		if !s.stillWaits(st) {
 			continue
 		}
-		s.placeTasks(st)
+		s.place(st)
+		if s.stillWaits(st) {
+			s.overdue = append(s.overdue, st)
+		}
+	}
+	clear(batch)
+	s.scratch.overdue = batch
+}
+
+// place starts tasks of a step, or requests the advice that it lacks. It returns false for
+// a gang that lacks capacity and waits for nothing else.
+func (s *State) place(st *step) bool {
+	if st.spec.Gang {
+		return s.placeGang(st)
 	}
+	s.placeTasks(st)
+	return true
 }
 
 // acceptsWork reports whether a worker may get new tasks of any kind.
@@ -156,20 +210,6 @@
 // runs to this owner.
 func (w *worker) isReporting() bool { return w.listed && w.runsKnown && !w.unresponsive }
 
-// eligible reports whether a worker may run tasks of a step, regardless of free
-// capacity and advice.
-func (s *State) eligible(w *worker, st *step) bool {
-	switch {
-	case !s.acceptsWork(w), w.unknownRuns > 0:
-		return false
-	case st.job.queue.Service != "" && w.spec.Service != st.job.queue.Service:
-		return false
-	case st.spec.Label != "" && !slices.Contains(w.spec.Labels, st.spec.Label):
-		return false
-	}
-	return true
-}
-
 // capacityFor returns how many more tasks of a step fit on a worker, at most n. Capacity
 // that is reserved for a gang is open only to that gang and to queues with a higher
 // priority than the gang's.
@@ -178,6 +218,7 @@
 		return 0
 	}
 	free := w.free()
+	s.scratch.examined++
 	n = min(n, fitCount(free.CPUMilli(), st.size.CPUMilli(), n))
 	n = min(n, fitCount(free.MemoryMiB(), st.size.MemoryMiB(), n))
 	n = min(n, fitCount(free.Accelerators(), st.size.Accelerators(), n))
@@ -213,14 +254,17 @@
 // latency bound. It outweighs any difference in free CPU between two workers.
 const placementPenalty = 1e9
 
-// findFits returns the workers that pass allow and have capacity for tasks of a step.
+// findFits returns the workers that a step may use and that have capacity for its tasks.
 // Best fit: the least free CPU comes first, so that large blocks of free capacity stay
 // unfragmented. Workers in the rack that holds the data come before all others. The
 // result is valid until the next call.
-func (s *State) findFits(st *step, n int, allow func(*worker) bool) []fit {
+func (s *State) findFits(st *step, n int, tickets ticketFilter) []fit {
+	if st.size.CPUMilli() > s.index.maxFreeCPU() {
+		return nil
+	}
 	out := s.scratch.fits[:0]
-	for _, w := range s.workerList {
-		if !s.eligible(w, st) || !allow(w) || st.spec.Filler && !w.acceptsFillers() {
+	for w := range s.allowedWorkers(st, tickets, st.size.CPUMilli()) {
+		if !suits(w, st) || st.spec.Filler && !w.acceptsFillers() {
 			continue
 		}
 		count := s.capacityFor(w, st, n)
@@ -245,13 +289,13 @@
 
 // placeTasks starts as many tasks of a step as fit, and requests advice for the rest.
 func (s *State) placeTasks(st *step) {
-	if s.waitingForAdvice(st) && len(st.advice.tickets) == 0 {
+	if s.waitingForAdvice(st) && len(st.advice.allowed) == 0 {
 		return
 	}
 	if !s.withinLimit(st, st.spec.Declared()) {
 		return
 	}
-	fits := s.findFits(st, st.unassigned, func(w *worker) bool { return s.hasTicket(st, w) })
+	fits := s.findFits(st, st.unassigned, withTicket)
 	next := 0
 	for _, t := range st.tasks {
 		if next == len(fits) {
@@ -288,7 +332,7 @@
 		return true
 	}
 	s.releaseReserved(st)
-	fits := s.gangFits(st, need, func(w *worker) bool { return s.hasTicket(st, w) })
+	fits := s.gangFits(st, need, withTicket)
 	if fits == nil {
 		return s.requestAdviceForGang(st, need)
 	}
@@ -316,16 +360,33 @@
 
 // gangFits returns workers that together have capacity for need tasks, or nil. A SameRack
 // gang is placed on one rack if any rack has the capacity.
-func (s *State) gangFits(st *step, need int, allow func(*worker) bool) []fit {
+func (s *State) gangFits(st *step, need int, tickets ticketFilter) []fit {
+	fits := s.findFits(st, need, tickets)
 	if st.spec.SameRack {
-		for _, rack := range s.rackNames() {
-			onRack := func(w *worker) bool { return slices.Contains(w.spec.Labels, rack) && allow(w) }
-			if fits := takeEnough(s.findFits(st, need, onRack), need); fits != nil {
-				return fits
-			}
+		if onRack := takeEnough(firstRackWith(fits, need), need); onRack != nil {
+			return onRack
 		}
 	}
-	return takeEnough(s.findFits(st, need, allow), need)
+	return takeEnough(fits, need)
+}
+
+// firstRackWith returns the fits of the first rack by name that holds need tasks, or nil.
+func firstRackWith(fits []fit, need int) []fit {
+	byRack := make(map[string][]fit)
+	capacity := make(map[string]int)
+	for _, f := range fits {
+		for _, rack := range f.worker.racks() {
+			byRack[rack] = append(byRack[rack], f)
+			capacity[rack] += f.count
+		}
+	}
+	first := ""
+	for rack, n := range capacity {
+		if n >= need && (first == "" || rack < first) {
+			first = rack
+		}
+	}
+	return byRack[first]
 }
 
 // takeEnough returns the shortest prefix of fits that holds need tasks, or nil.
@@ -339,32 +400,14 @@
 	return nil
 }
 
-// rackNames returns the sorted rack labels of all workers. By convention rack labels have
-// more than one character and all other labels have one.
-func (s *State) rackNames() []string {
-	var out []string
-	for _, w := range s.workerList {
-		for _, l := range w.spec.Labels {
-			if len(l) > 1 && !slices.Contains(out, l) {
-				out = append(out, l)
-			}
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // reserveCapacity reserves the workers with the most free CPU for a gang that does not
 // fit yet, so that they get no other tasks of the same or a lower priority. It reports
 // whether the reserved workers could hold the gang if they were empty.
 func (s *State) reserveCapacity(st *step) bool {
 	need := st.remaining
-	allow := func(w *worker) bool {
-		return w.reservedFor == nil && s.eligible(w, st) && s.isAllowed(st, w)
-	}
 	var list []fit
-	for _, w := range s.workerList {
-		if !allow(w) {
+	for w := range s.allowedWorkers(st, withOrWithoutTicket, anyFreeCPU) {
+		if w.reservedFor != nil || !suits(w, st) {
 			continue
 		}
 		n := min(fitCount(w.spec.Capacity.CPUMilli(), st.size.CPUMilli(), need),
@@ -400,13 +443,16 @@
 	// sooner.
 	stalledAfter     = 2500 * time.Millisecond
 	progressComplete = 100 // percent
+	// runCheckInterval is the time between two checks of all runs for stalls and for stops
+	// that took no effect, which both take much longer to show.
+	runCheckInterval = 100 * time.Millisecond
 )
 
 // stopStalled stops runs that make no progress, so that they are restarted on another
 // worker.
 func (s *State) stopStalled() {
 	for _, w := range s.workerList {
-		for _, r := range w.runs.copy() {
+		for _, r := range w.runs {
 			st := r.task.step
 			if !r.confirmed || r.stopping || st.spec.Service || st.spec.Filler || r.progress >= progressComplete {
 				continue
--- a/entry/sched/load.go
+++ b/entry/sched/load.go
@@ -23,7 +23,7 @@
 // Load returns the current load.
 func (s *State) Load() Load {
 	var l Load
-	for _, st := range s.waiting {
+	for st := range s.allWaiting() {
 		l.Waiting[min(max(st.job.queue.Priority, 0), len(l.Waiting)-1)]++
 		if st.rank.class > classOnTime {
 			l.Missed++
--- a/entry/sched/model_test.go
+++ b/entry/sched/model_test.go
@@ -362,6 +362,11 @@
 func (m *model) decide() {
 	m.state.SetNow(m.now, m.wall())
 	list := m.state.Decide(m.now)
+	if time.Duration(m.now)%(50*modelTick) == 0 {
+		if diff := checkIndex(m.state); diff != "" {
+			m.failf("index (-want +got):\n%s", diff)
+		}
+	}
 	m.journal = append(m.journal, m.state.TakeEvents()...)
 	if !m.faultFree && m.rng.IntN(400) == 0 {
 		return // the owner crashes between its journal write and its orders
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -34,6 +34,7 @@
 	st.liveRuns.add(r)
 	w.runs.add(r)
 	w.used = w.used.Add(r.size)
+	s.index.update(w, w.open)
 	tm := s.team(st.job.doc.Team)
 	tm.used = tm.used.Add(r.charged)
 	if st.job.queue.Priority == urgentPriority {
@@ -176,7 +177,7 @@
 		if w.unresponsive {
 			continue
 		}
-		for _, r := range w.runs.copy() {
+		for _, r := range w.runs {
 			if r.stopping && s.now.Sub(r.stopSentAt) >= stopRetryInterval {
 				r.stopSentAt = s.now
 				s.emit(Stop{Task: r.task.id(), Attempt: r.attempt, Worker: w.spec.ID, Reason: ReasonRepeated})
@@ -233,7 +234,7 @@
 		}
 		return
 	case OutcomeNoTicket:
-		delete(r.task.step.advice.tickets, workerID)
+		r.task.step.advice.dropTicket(workerID)
 	case OutcomeUnhealthy:
 		w.suspectUntil = max(w.suspectUntil, s.now.Add(suspectDuration))
 	case OutcomeUnreachable, OutcomeRejected:
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -108,6 +108,10 @@
 	suspectUntil clock.Mono
 	// reservedFor is the gang that the worker's free capacity is reserved for.
 	reservedFor *step
+	// open is whether the worker may get tasks. indexedFreeCPU is its free CPU, in
+	// thousandths of a core, by which workerIndex orders it.
+	open           bool
+	indexedFreeCPU int64
 }
 
 func (w *worker) free() amount.Vec { return w.spec.Capacity.Sub(w.used) }
@@ -273,7 +277,11 @@
 	teams      map[string]*team
 	// waiting holds the steps with tasks that wait for a worker, in rank order as of the
 	// last decision.
-	waiting   []*step
+	waiting []*step
+	// overdue holds those whose result has no value any more, the one examined longest ago
+	// first.
+	overdue   []*step
+	index     workerIndex
 	scheduled []*job // jobs with occurrences that are not due yet
 	// cancelledEarly holds jobs whose cancellation was read before the job itself.
 	cancelledEarly map[string]bool
@@ -289,6 +297,9 @@
 	compactable []*job // finished jobs that are not compacted yet
 	scratch     scratch
 	replaying   bool
+	// runsCheckedAt is when all runs were last checked for stalls and for stops without
+	// effect.
+	runsCheckedAt clock.Mono
 }
 
 // New returns an empty state.
@@ -433,4 +444,4 @@
 }
 
 // Waiting returns the number of steps with tasks that wait for a worker.
-func (s *State) Waiting() int { return len(s.waiting) }
+func (s *State) Waiting() int { return len(s.waiting) + len(s.overdue) }
--- a/entry/sched/unschedulable.go
+++ b/entry/sched/unschedulable.go
@@ -21,7 +21,7 @@
 // They go on waiting, because a suitable worker may join.
 func (s *State) TakeUnschedulable() []Unschedulable {
 	var out []Unschedulable
-	for _, st := range s.waiting {
+	for st := range s.allWaiting() {
 		if st.schedulableChecked || s.now.Sub(st.readyAt) < unschedulableAfter {
 			continue
 		}
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -36,6 +36,7 @@
 func (s *State) removeIfUnused(w *worker) {
 	if !w.listed && len(w.runs) == 0 {
 		delete(s.workers, w.spec.ID)
+		s.index.update(w, false)
 		s.workerList = slices.DeleteFunc(s.workerList, func(o *worker) bool { return o == w })
 	}
 }
