Retry the release of ownership until it is stored

Release tried three times within milliseconds and gave up. The store was back at 36.3, the stopping process lived until 37.1, and the next owner waited until 37.9. Ruled out: late news of the store's return (other VMs read the record from 36.4 on). Change: the elector goes on trying every 100 ms until the release is stored or another VM is the owner. Test: TestReleaseDuringOutage, which fails when the release is tried once.

--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -76,8 +76,8 @@
 	maxCallTimeout = 1200 * time.Millisecond
 	// resignBackoff is how long a VM that resigned does not take over again.
 	resignBackoff = 3 * time.Second
-	// maxReleaseTries bounds the attempts to write the release.
-	maxReleaseTries = 3
+	// releaseRetryDelay is the pause after a release that was not stored.
+	releaseRetryDelay = 100 * time.Millisecond
 )
 
 // Holder identifies an incarnation of a VM and the address at which other VMs reach it.
@@ -178,6 +178,7 @@
 	// releaseDone.
 	releaseRequests, releaseDone chan struct{}
 	releaseDoneOnce              sync.Once
+	releasing                    bool // the release is not stored yet; used only by Run
 	// takeoverBlockedUntil is when a VM that resigned may take over again.
 	takeoverBlockedUntil clock.Mono
 }
@@ -239,7 +240,7 @@
 		case <-ctx.Done():
 		case <-e.checkNow:
 		case <-e.releaseRequests:
-			e.writeRelease(ctx)
+			e.releasing = true
 		case <-e.clk.After(pause):
 		}
 	}
@@ -249,6 +250,11 @@
 // step renews the record or, on a VM that is not the owner, reads it and takes over if
 // allowed. It returns the pause before the next step.
 func (e *Elector) step(ctx context.Context) time.Duration {
+	if e.releasing {
+		if e.releasing = !e.writeRelease(ctx); e.releasing {
+			return releaseRetryDelay
+		}
+	}
 	if _, ok := e.Term(); ok {
 		if !e.renew(ctx) {
 			return renewRetryDelay
--- a/entry/lead/release.go
+++ b/entry/lead/release.go
@@ -47,34 +47,39 @@
 	}
 }
 
-// writeRelease writes the record as released, unless another VM has changed it.
-func (e *Elector) writeRelease(ctx context.Context) {
-	defer e.releaseDoneOnce.Do(func() { close(e.releaseDone) })
+// writeRelease tries once to write the record as released, unless another VM has changed it.
+// It returns false if the release is not stored yet and must be tried again: while the store
+// is away, a VM that stops would otherwise leave a record that others wait for.
+func (e *Elector) writeRelease(ctx context.Context) (done bool) {
+	defer func() {
+		if done {
+			e.releaseDoneOnce.Do(func() { close(e.releaseDone) })
+		}
+	}()
 	// The release must also be stored while the store is slow.
 	e.callTimeout = maxCallTimeout
-	for range maxReleaseTries {
-		e.mu.Lock()
-		next, rev := e.rec, e.rev
-		e.mu.Unlock()
-		if next.Holder != e.cfg.Self || next.Released {
-			return
-		}
-		next.Released = true
-		if _, ok := e.compareAndSwap(ctx, rev, next, false); ok {
-			e.log.Info("released ownership", zap.Int64("epoch", next.Epoch))
-			return
-		}
-		rec, readRev, ok := e.readRecord(ctx)
-		if !ok {
-			continue
-		}
-		if rec.Epoch != next.Epoch {
-			return
-		}
-		e.mu.Lock()
-		e.rec, e.rev = rec, readRev
-		e.mu.Unlock()
+	e.mu.Lock()
+	next, rev := e.rec, e.rev
+	e.mu.Unlock()
+	if next.Holder != e.cfg.Self || next.Released {
+		return true
+	}
+	next.Released = true
+	if _, ok := e.compareAndSwap(ctx, rev, next, false); ok {
+		e.log.Info("released ownership", zap.Int64("epoch", next.Epoch))
+		return true
+	}
+	rec, readRev, ok := e.readRecord(ctx)
+	if !ok {
+		return false
 	}
+	if rec.Epoch != next.Epoch {
+		return true
+	}
+	e.mu.Lock()
+	e.rec, e.rev = rec, readRev
+	e.mu.Unlock()
+	return rec.Released
 }
 
 // Superseded ends the term with the given epoch, because one of its conditional writes
--- a/entry/lead/release_test.go
+++ b/entry/lead/release_test.go
@@ -51,3 +51,20 @@
 		t.Errorf("owner %v with epoch %d after epoch %d", ok, next.Epoch(), former.Epoch())
 	}
 }
+
+// TestReleaseDuringOutage guards against a VM that stops while the store refuses all calls and
+// gives up its release at once: after the outage the others waited for an owner that was gone.
+func TestReleaseDuringOutage(t *testing.T) {
+	t.Parallel()
+	p := newElectorPair()
+	p.run(time.Second, 0, 1)
+	p.stores[0].set(true, false)
+	p.stores[1].set(true, false)
+	p.releaseFirst()
+	p.electors[0].releasing = true // as Run does for the request
+	storeOutage(p, 3*time.Second, 0, 1)
+	p.run(releaseRetryDelay+readInterval+100*time.Millisecond, 0, 1)
+	if _, ok := p.electors[1].Authority(); !ok {
+		t.Errorf("no successor after the outage although the owner stopped: record %+v", p.electors[1].rec)
+	}
+}
