--- a/core/probe/probe_test.go
+++ b/core/probe/probe_test.go
@@ -85,12 +85,12 @@
 		f             func(context.Context) error
 		want          rcode.Code
 	}{
-		"answered":         {answersProbes: true, timeout: time.Minute, f: func(context.Context) error { return nil }, want: rcode.OK},
-		"refused":          {answersProbes: true, timeout: time.Minute, f: func(context.Context) error { return rcode.New(rcode.StoreUnavailable, "x") }, want: rcode.StoreUnavailable},
-		"lost":             {answersProbes: true, timeout: time.Minute, f: never, want: rcode.OutcomeUnknown},
-		"ignores its end":  {answersProbes: true, timeout: time.Minute, f: func(context.Context) error { select {} }, want: rcode.OutcomeUnknown},
-		"service is gone":  {timeout: 20 * time.Millisecond, f: never, want: rcode.OutcomeUnknown},
-		"caller gives up":  {answersProbes: true, timeout: 0, f: never, want: rcode.OutcomeUnknown},
+		"answered":        {answersProbes: true, timeout: time.Minute, f: func(context.Context) error { return nil }, want: rcode.OK},
+		"refused":         {answersProbes: true, timeout: time.Minute, f: func(context.Context) error { return rcode.New(rcode.StoreUnavailable, "x") }, want: rcode.StoreUnavailable},
+		"lost":            {answersProbes: true, timeout: time.Minute, f: never, want: rcode.OutcomeUnknown},
+		"ignores its end": {answersProbes: true, timeout: time.Minute, f: func(context.Context) error { select {} }, want: rcode.OutcomeUnknown},
+		"service is gone": {timeout: 20 * time.Millisecond, f: never, want: rcode.OutcomeUnknown},
+		"caller gives up": {answersProbes: true, timeout: 0, f: never, want: rcode.OutcomeUnknown},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
