Have two standbys read the ownership record closely

VMs read the record each 0.9 s while the owner answers, and count its age from their own first sight of the last renewal; a probe of a VM that is gone takes 0.3 s between two reads. Ruled out: a shorter wait than the owner's authority, which would let two VMs act for a moment. Change: the first two VMs of the owner's list other than itself read the record each 0.2 s.

--- a/entry/accept/accept_test.go
+++ b/entry/accept/accept_test.go
@@ -272,6 +272,31 @@
 	}
 }
 
+// TestIsStandby guards against too many VMs that read the ownership record closely, and
+// against none when the owner heads its own list.
+func TestIsStandby(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		members []string
+		want    bool
+	}{
+		"first":           {members: []string{"a0", "a1", "a2"}, want: true},
+		"after the owner": {members: []string{"owner", "a1", "a0"}, want: true},
+		"third":           {members: []string{"a1", "a2", "a0"}},
+		"fourth":          {members: []string{"owner", "a1", "a2", "a0"}},
+		"not listed":      {members: []string{"owner", "a1"}},
+		"empty list":      {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			if diff := cmp.Diff(tt.want, isStandby(tt.members, "owner", "a0")); diff != "" {
+				t.Errorf("standby (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestWithdrawnKeyOnPartitionedVM guards against a VM that cannot reach the store and goes
 // on accepting jobs, through other VMs, with an API key that was withdrawn meanwhile. A VM
 // with an earlier configuration than the caller's must not refuse a new key.
--- a/entry/accept/owner.go
+++ b/entry/accept/owner.go
@@ -73,6 +73,23 @@
 	}
 }
 
+// Standby reports whether this VM is among the standbys: the first VMs in the owner's list
+// other than the owner itself.
+func (s *Service) Standby() bool {
+	reply := s.ownerReply.Load()
+	if reply == nil {
+		return false
+	}
+	owner, _ := s.cfg.Elector.Owner()
+	return isStandby(reply.Members, owner.Addr, s.cfg.Self.Addr)
+}
+
+// isStandby reports whether self is among the first members other than the owner.
+func isStandby(members []string, owner, self string) bool {
+	others := slices.DeleteFunc(slices.Clone(members), func(a string) bool { return a == owner })
+	return slices.Contains(others[:min(len(others), standbys)], self)
+}
+
 // ownerReplyTTL is how long after sending a hello that was answered the owner counts
 // as reachable. While it does, the ownership record is read less often.
 const ownerReplyTTL = 2 * helloInterval
@@ -87,6 +104,9 @@
 	// firstCandidates is the number of VMs that take over without a delay: those with
 	// the most CPU.
 	firstCandidates = 6
+	// standbys is the number of VMs that watch the record closely. More than one, because
+	// the first may be lost together with the owner.
+	standbys = 2
 	// candidateDelay is how long other VMs with enough CPU wait.
 	candidateDelay = 500 * time.Millisecond
 	// slowVMDelay is how long all others wait. A VM without enough CPU cannot carry the
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -66,6 +66,9 @@
 	// record, while the owner answers this VM.
 	reachableReadInterval = 900 * time.Millisecond
 	readInterval          = 300 * time.Millisecond
+	// standbyReadInterval is the time between two reads of a standby, which measures the
+	// age of the record from its first sight of it.
+	standbyReadInterval = 200 * time.Millisecond
 	// maxContactGap is the longest time between two answers of the store that still
 	// counts as unbroken contact.
 	maxContactGap = 1600 * time.Millisecond
@@ -144,6 +147,9 @@
 	// TakeoverDelay returns how much longer than the other VMs this VM waits before it
 	// takes over, unless the owner asks it to. Nil means no delay.
 	TakeoverDelay func() time.Duration
+	// Standby reports whether this VM is among the first to take over, so that it reads the
+	// record often. Nil means that it is not.
+	Standby func() bool
 	// Eligible reports whether this VM may take over now. Nil means that it may.
 	Eligible func() bool
 }
@@ -261,6 +267,7 @@
 		}
 		return renewInterval
 	}
+	start := e.clk.Now()
 	e.refresh(ctx)
 	if e.mayTakeOver(ctx) {
 		e.takeOver(ctx)
@@ -268,6 +275,10 @@
 	if _, ok := e.Term(); ok {
 		return renewInterval
 	}
+	if e.cfg.Standby != nil && e.cfg.Standby() {
+		// A probe of an owner that is gone may have taken all of the interval.
+		return max(renewRetryDelay, standbyReadInterval-e.clk.Now().Sub(start))
+	}
 	if e.cfg.OwnerReachable != nil && e.cfg.OwnerReachable() {
 		return reachableReadInterval
 	}
--- a/entry/lead/lead_test.go
+++ b/entry/lead/lead_test.go
@@ -189,6 +189,50 @@
 	}
 }
 
+// TestStandby guards against a standby that sees a lost owner's last renewal late, and so
+// counts the time to the takeover from too late: with reads each 0.9 s while the owner is
+// reachable it began up to a second after a lost owner.
+func TestStandby(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		standby bool
+		limit   time.Duration // from the owner's last renewal to the takeover
+	}{
+		"standby":    {standby: true, limit: TakeoverAfter + 500*time.Millisecond},
+		"another VM": {limit: TakeoverAfter + reachableReadInterval + readInterval + 100*time.Millisecond},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newElectorPair()
+			reachable := true
+			p.electors[1].cfg.Standby = func() bool { return tt.standby }
+			p.electors[1].cfg.OwnerReachable = func() bool { return reachable }
+			const tick = 10 * time.Millisecond
+			// Each elector takes its next step when the pause of the last one is over.
+			due := [2]time.Duration{}
+			var lost, tookOver time.Duration
+			for now := time.Duration(0); now < 15*time.Second && tookOver == 0; now += tick {
+				p.clk.Advance(tick)
+				if due[0] <= now && now < 5*time.Second {
+					due[0] = now + p.electors[0].step(context.Background())
+					lost = now
+				}
+				reachable = now < 5*time.Second+300*time.Millisecond
+				if due[1] <= now && now > time.Second {
+					due[1] = now + p.electors[1].step(context.Background())
+				}
+				if _, ok := p.electors[1].Authority(); ok {
+					tookOver = now
+				}
+			}
+			if took := tookOver - lost; tookOver == 0 || took > tt.limit || took < TakeoverAfter {
+				t.Errorf("takeover %v after the last renewal, want %v to %v", took, TakeoverAfter, tt.limit)
+			}
+		})
+	}
+}
+
 // releaseFirst has the first elector release its ownership. Run is not running, so
 // Release gets an ended context and writeRelease is called directly.
 func (p *electorPair) releaseFirst() {
