Shorten polls and their timeouts further while replies are lost

Change: while replies are lost, polls wait for 0.2 s and replies may take 0.12 s; a start is repeated after 0.1 s. After two failures a reply may take 0.9 s as before, so that slow workers are not lost. Tests: TestReplySlack, TestPollWait, TestUnansweredStart.

--- a/entry/engine/lostreply.go
+++ b/entry/engine/lostreply.go
@@ -8,7 +8,7 @@
 	// lossyShare is the share of lost replies from which polls wait for a shorter time.
 	lossyShare = 0.01
 	// minPollWait is the shortest wait of a poll while replies are lost.
-	minPollWait = 300 * time.Millisecond
+	minPollWait = 200 * time.Millisecond
 	// pollsPerCPUMilli is the number of polls a second that an owner may add for each
 	// thousandth of a core that it has.
 	pollsPerCPUMilli = 2
@@ -20,6 +20,9 @@
 // time.
 type replyLoss struct{ share float64 }
 
+// isHigh reports whether many replies are lost.
+func (l *replyLoss) isHigh() bool { return l.share >= lossyShare }
+
 // observe records a poll of a worker whose last poll was answered.
 func (l *replyLoss) observe(lost bool) {
 	v := 0.0
@@ -32,7 +35,7 @@
 // pollWait returns how long polls may wait for a run to end, for an owner with the given
 // number of workers and share of the CPU.
 func (l *replyLoss) pollWait(workers int, cpuMilli int64) time.Duration {
-	if l.share < lossyShare {
+	if !l.isHigh() {
 		return maxPollWait
 	}
 	affordable := maxPollWait
--- a/entry/engine/lostreply_test.go
+++ b/entry/engine/lostreply_test.go
@@ -55,17 +55,20 @@
 	t.Parallel()
 	tests := map[string]struct {
 		conn workerConn
+		loss replyLoss
 		want time.Duration
 	}{
 		"first poll":        {conn: workerConn{}, want: slowPollReplySlack},
 		"after a reply":     {conn: workerConn{clockMS: 1}, want: pollReplySlack},
+		"replies are lost":  {conn: workerConn{clockMS: 1}, loss: replyLoss{share: 0.05}, want: lossyPollReplySlack},
+		"lost again":        {conn: workerConn{clockMS: 1, failures: 2}, loss: replyLoss{share: 0.05}, want: slowPollReplySlack},
 		"after one failure": {conn: workerConn{clockMS: 1, failures: 1}, want: pollReplySlack},
 		"after two":         {conn: workerConn{clockMS: 1, failures: 2}, want: slowPollReplySlack},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			if diff := cmp.Diff(tt.want, tt.conn.replySlack()); diff != "" {
+			if diff := cmp.Diff(tt.want, tt.conn.replySlack(tt.loss)); diff != "" {
 				t.Errorf("slack (-want +got):\n%s", diff)
 			}
 		})
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -38,10 +38,12 @@
 	maxPollWait = time.Second
 	// pollReplySlack is how much longer than the wait the reply to a poll may take that
 	// follows a successful one: perhaps only a reply was lost, and the next poll over
-	// another connection finds out. slowPollReplySlack replaces it for the first poll of a
-	// worker and after several failures, so that a slow worker is not taken for a lost one.
-	pollReplySlack     = 350 * time.Millisecond
-	slowPollReplySlack = 900 * time.Millisecond
+	// another connection finds out. lossyPollReplySlack replaces it while many replies are
+	// lost, slowPollReplySlack for the first poll of a worker and after several failures, so
+	// that a slow worker is not taken for a lost one.
+	pollReplySlack      = 350 * time.Millisecond
+	lossyPollReplySlack = 120 * time.Millisecond
+	slowPollReplySlack  = 900 * time.Millisecond
 	// maxAckDelay is how long a poll is held back for a write to the store, so that it
 	// can acknowledge the ended runs.
 	maxAckDelay = 600 * time.Millisecond
@@ -62,7 +64,7 @@
 // startTimeouts bound the tries of a start order. The first is short, because a worker that
 // can be reached answers within milliseconds, and the next try over another connection finds
 // out whether only the reply was lost.
-var startTimeouts = []time.Duration{150 * time.Millisecond, 250 * time.Millisecond, 400 * time.Millisecond}
+var startTimeouts = []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond}
 
 // workerClock returns the current time on the worker's clock.
 func (c *workerConn) workerClock(now clock.Mono) int64 {
@@ -70,11 +72,15 @@
 }
 
 // replySlack returns how much longer than its wait the next poll may take.
-func (c *workerConn) replySlack() time.Duration {
-	if c.clockMS == 0 || c.failures > 1 {
+func (c *workerConn) replySlack(loss replyLoss) time.Duration {
+	switch {
+	case c.clockMS == 0, c.failures > 1:
 		return slowPollReplySlack
+	case loss.isHigh():
+		return lossyPollReplySlack
+	default:
+		return pollReplySlack
 	}
-	return pollReplySlack
 }
 
 // pollIdleWorkers polls the workers that have no poll in flight and drops those that
@@ -147,7 +153,7 @@
 	order.Wait = wait
 	c.polling = true
 	release := e.trackImmediatePoll(t, wait == 0)
-	timeout := wait + c.replySlack()
+	timeout := wait + c.replySlack(t.replyLoss)
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, timeout)
 		defer cancel()
