Try workers that failed with one task first

Ruled out: longer suspicion, which would close sound workers while many jobs fail by their own fault. Change: after failures of two jobs without a success in between a worker runs one task at a time and no member of a gang, until one succeeds; any failure then makes it suspected again.

--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -217,6 +217,12 @@
 	if w.reservedFor != nil && w.reservedFor != st && st.job.queue.Priority >= w.reservedFor.job.queue.Priority {
 		return 0
 	}
+	if w.isOnProbation() {
+		if st.spec.Gang || len(w.runs) > 0 {
+			return 0
+		}
+		n = min(n, 1)
+	}
 	free := w.free()
 	s.scratch.examined++
 	n = min(n, fitCount(free.CPUMilli(), st.size.CPUMilli(), n))
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -269,13 +269,19 @@
 	suspectThreshold = 2
 )
 
+// isOnProbation reports whether a worker has failed since its last success as suspected
+// workers do. It then runs one task at a time and no member of a gang: a worker that fails
+// all that it starts would otherwise fail as many tasks as fit each time that it is tried
+// again, and after each change of the owner.
+func (w *worker) isOnProbation() bool { return w.failStreak >= suspectThreshold }
+
 // evaluateWorker updates a worker's failure record after a run. Failures of different
 // jobs without a success in between make the worker suspected; repeated failures of one
-// job may be the job's own fault.
+// job may be the job's own fault, unless the worker is on probation. Failures in the journal
+// of former owners say nothing about the worker's present state, except that it is tried
+// with one task first.
 func (s *State) evaluateWorker(w *worker, r *run, outcome events.RunOutcome) {
-	if s.replaying {
-		return // past failures say nothing about the worker's present state
-	}
+	onProbation := w.isOnProbation() && !s.replaying
 	switch outcome {
 	case events.RunDone:
 		w.failStreak, w.failedJobs = 0, nil
@@ -283,12 +289,12 @@
 		if w.failedJobs == nil {
 			w.failedJobs = make(map[string]struct{})
 		}
-		if _, counted := w.failedJobs[r.task.step.job.doc.ID]; counted {
+		if _, counted := w.failedJobs[r.task.step.job.doc.ID]; counted && !onProbation {
 			return
 		}
 		w.failedJobs[r.task.step.job.doc.ID] = struct{}{}
 		w.failStreak++
-		if w.failStreak >= suspectThreshold {
+		if w.isOnProbation() && !s.replaying {
 			w.suspectUntil = s.now.Add(suspectDuration)
 		}
 	case events.RunStopped, events.RunLost:
