Greet the former owner's VMs when a term begins

Ruled out: workers found too late (109 of 540 at 4.9, 538 at 6.0), a slow loop. Test: TestGreetMembers, which fails without the greeting.

--- a/entry/accept/owner.go
+++ b/entry/accept/owner.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// MemberAddrs returns the addresses of the VMs that the owner listed last.
+func (s *Service) MemberAddrs() []string {
+	if reply := s.ownerReply.Load(); reply != nil {
+		return reply.Members
+	}
+	return nil
+}
+
 // Standby reports whether this VM is among the standbys: the first VMs in the owner's list
 // other than the owner itself.
 func (s *Service) Standby() bool {
--- a/entry/engine/advise.go
+++ b/entry/engine/advise.go
@@ -74,6 +74,41 @@
 	m.lastHelloAt, m.cpuMilli = e.clk.Now(), cpuMilli
 }
 
+// greetTimeout bounds a greeting.
+const greetTimeout = 300 * time.Millisecond
+
+// greetMembers looks for the VMs that the former owner knew. They say hello by themselves
+// only once they have found the new owner, and until then there is nobody to call the
+// advising service.
+func (e *Engine) greetMembers(t *term) {
+	if e.cfg.MemberAddrs == nil || e.cfg.Greet == nil {
+		return
+	}
+	for _, addr := range e.cfg.MemberAddrs() {
+		if addr == e.cfg.Self.Addr {
+			continue
+		}
+		go func() {
+			ctx, cancel := context.WithTimeout(t.ctx, greetTimeout)
+			defer cancel()
+			var from lead.Holder
+			err := e.guarded("greeting", func() (err error) {
+				from, err = e.cfg.Greet(ctx, addr)
+				return err
+			})
+			if err != nil || from.Name == "" {
+				return
+			}
+			e.post(func() {
+				if e.term == t && e.members[from.Name] == nil {
+					e.updateMember(from, 0) // its own hello says how much CPU it has
+					t.dirty = true
+				}
+			})
+		}()
+	}
+}
+
 // membersByCPU returns the members, those with the most CPU first.
 func (e *Engine) membersByCPU() []*member {
 	list := make([]*member, 0, len(e.members))
--- a/entry/engine/advise_test.go
+++ b/entry/engine/advise_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/rules"
 	"limpethitch.example/entry/sched"
 )
@@ -44,3 +48,34 @@
 	h.store.setClosed(false)
 	h.waitForStatus(t, func(s JobStatus) bool { return s.State == sched.JobDone })
 }
+
+// TestGreetMembers guards against a new owner that has nobody to call the advising service
+// until the other VMs have found it.
+func TestGreetMembers(t *testing.T) {
+	t.Parallel()
+	h := newHarnessWith(t, func(cfg *Config) {
+		cfg.MemberAddrs = func() []string { return []string{"a1", cfg.Self.Addr, "gone", "nameless"} }
+		cfg.Greet = func(_ context.Context, addr string) (lead.Holder, error) {
+			switch addr {
+			case "gone":
+				return lead.Holder{}, rcode.New(rcode.PeerUnreachable, "gone")
+			case "nameless":
+				return lead.Holder{Addr: addr}, nil
+			default:
+				return lead.Holder{Name: "vm-" + addr, Addr: addr}, nil
+			}
+		}
+	})
+	want := []string{"vm-a1"}
+	var got []string
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end) && !cmp.Equal(want, got); time.Sleep(time.Millisecond) {
+		names := make(chan []string, 1)
+		h.engine.post(func() {
+			names <- slices.DeleteFunc(slices.Sorted(maps.Keys(h.engine.members)), func(name string) bool { return name == h.engine.cfg.Self.Name })
+		})
+		got = <-names
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("members that have not said hello (-want +got):\n%s", diff)
+	}
+}
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -50,6 +50,10 @@
 	Workers       Workers
 	Adviser       Adviser
 	RemoteAdviser RemoteAdviser
+	// MemberAddrs returns the addresses of the VMs that the former owner knew. Greet sends a
+	// hello to one of them and returns the incarnation that replied.
+	MemberAddrs func() []string
+	Greet       func(ctx context.Context, addr string) (lead.Holder, error)
 	// WorkerPrefix is the key prefix under which the platform lists workers;
 	// ParseWorker decodes an entry.
 	WorkerPrefix string
--- a/entry/engine/hello.go
+++ b/entry/engine/hello.go
@@ -32,6 +32,8 @@
 
 // HelloReply is the reply to a HelloRequest.
 type HelloReply struct {
+	// Name is the name of the incarnation that replied, owner or not.
+	Name string
 	// Owner is the owner as known to a VM that is not the owner itself. It comes with an
 	// error of code rcode.NotOwner; the owner leaves it empty.
 	Owner lead.Holder
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -48,6 +48,7 @@
 		FormerLeaseTTL:  lead.LeaseAuthorityDuration + e.maxLeaseOnWorker(),
 	})
 	e.term = t
+	e.greetMembers(t)
 	loadStarted := e.clk.Now()
 	go func() {
 		for ctx.Err() == nil {
--- a/entry/relay/relay.go
+++ b/entry/relay/relay.go
@@ -179,9 +179,9 @@
 	}
 	if !resp.GetOwner() {
 		hint := lead.Holder{Name: resp.GetOwnerName(), Addr: resp.GetOwnerAddr()}
-		return engine.HelloReply{Owner: hint}, rcode.New(rcode.NotOwner, "relay.Hello %s", addr)
+		return engine.HelloReply{Name: resp.GetName(), Owner: hint}, rcode.New(rcode.NotOwner, "relay.Hello %s", addr)
 	}
-	reply := engine.HelloReply{Members: resp.GetMembers(), Candidates: int(resp.GetCandidates()), TransferOwnership: resp.GetYield(), Waiting: make(map[string]int, len(resp.GetWaiting()))}
+	reply := engine.HelloReply{Name: resp.GetName(), Members: resp.GetMembers(), Candidates: int(resp.GetCandidates()), TransferOwnership: resp.GetYield(), Waiting: make(map[string]int, len(resp.GetWaiting()))}
 	for q, n := range resp.GetWaiting() {
 		reply.Waiting[q] = int(n)
 	}
