Take greeted VMs as members although they were known in an earlier term

Change: a reply to a greeting counts as contact with a known VM too; its CPU stays as in its last hello. Test: TestMemberReplied.

--- a/entry/engine/advise.go
+++ b/entry/engine/advise.go
@@ -100,8 +100,8 @@
 				return
 			}
 			e.post(func() {
-				if e.term == t && e.members[from.Name] == nil {
-					e.updateMember(from, 0) // its own hello says how much CPU it has
+				if e.term == t {
+					e.memberReplied(from)
 					t.dirty = true
 				}
 			})
@@ -109,6 +109,16 @@
 	}
 }
 
+// memberReplied records that a VM replied to this one. Its CPU is as in its last hello, or
+// not known until the first.
+func (e *Engine) memberReplied(from lead.Holder) {
+	cpuMilli := int64(0)
+	if m := e.members[from.Name]; m != nil {
+		cpuMilli = m.cpuMilli
+	}
+	e.updateMember(from, cpuMilli)
+}
+
 // membersByCPU returns the members, those with the most CPU first.
 func (e *Engine) membersByCPU() []*member {
 	list := make([]*member, 0, len(e.members))
--- a/entry/engine/advise_test.go
+++ b/entry/engine/advise_test.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
 
+	"limpethitch.example/core/clock"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/rules"
@@ -54,7 +56,7 @@
 func TestGreetMembers(t *testing.T) {
 	t.Parallel()
 	h := newHarnessWith(t, func(cfg *Config) {
-		cfg.MemberAddrs = func() []string { return []string{"a1", cfg.Self.Addr, "gone", "nameless"} }
+		cfg.MemberAddrs = func() []string { return []string{"a1", "a2", cfg.Self.Addr, "gone", "nameless"} }
 		cfg.Greet = func(_ context.Context, addr string) (lead.Holder, error) {
 			switch addr {
 			case "gone":
@@ -66,7 +68,7 @@
 			}
 		}
 	})
-	want := []string{"vm-a1"}
+	want := []string{"vm-a1", "vm-a2"}
 	var got []string
 	for end := time.Now().Add(30 * time.Second); time.Now().Before(end) && !cmp.Equal(want, got); time.Sleep(time.Millisecond) {
 		names := make(chan []string, 1)
@@ -79,3 +81,32 @@
 		t.Errorf("members that have not said hello (-want +got):\n%s", diff)
 	}
 }
+
+// TestMemberReplied guards against a VM that stays out of use because it said its last hello
+// in an earlier term of this VM, and against one whose CPU is forgotten.
+func TestMemberReplied(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		known *member
+		want  int64
+	}{
+		"known":     {known: &member{cpuMilli: 800, lastHelloAt: 1}, want: 800},
+		"not known": {},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			clk := clock.NewFake(time.Unix(1000, 0))
+			clk.Advance(time.Hour)
+			e := New(Config{}, clk, zap.NewNop())
+			if tt.known != nil {
+				e.members["vm1-a"] = tt.known
+			}
+			e.memberReplied(lead.Holder{Name: "vm1-a", Addr: "a1"})
+			m := e.members["vm1-a"]
+			if diff := cmp.Diff([]any{tt.want, clk.Now()}, []any{m.cpuMilli, m.lastHelloAt}); diff != "" {
+				t.Errorf("CPU, last contact (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
