Suspect workers after failures of three jobs, not two

One run in twenty fails by its own fault, and of the jobs that fail on every worker each attempt counted against another worker, so that two failures of different jobs in a row are common. Ruled out: unanswered polls (all answered again within 0.5 s), lost workers (four). Change: a worker is suspected after the failures of three jobs without a success in between, and on probation (one task at a time) after two, as before. The failure of a job that failed on another worker first does not count, unless the worker is on probation. The load line says how many workers are suspected and how many do not respond. Test: TestSuspicion, red with the threshold back at two and without firstFailedOn.

--- a/entry/sched/load.go
+++ b/entry/sched/load.go
@@ -16,8 +16,9 @@
 	// UsedCPU and CPU are the used and total milli-cores of the workers that may get
 	// new tasks.
 	UsedCPU, CPU int64
-	// Workers counts the workers that may get new tasks.
-	Workers int
+	// Workers counts the workers that may get new tasks, Suspected those that may not
+	// because of failures, Unresponsive those that did not answer the last polls.
+	Workers, Suspected, Unresponsive int
 }
 
 // Load returns the current load.
@@ -36,6 +37,12 @@
 	}
 	for _, w := range s.workerList {
 		l.Runs += len(w.runs)
+		if s.now < w.suspectUntil {
+			l.Suspected++
+		}
+		if w.unresponsive {
+			l.Unresponsive++
+		}
 		if !s.acceptsWork(w) {
 			continue
 		}
--- a/entry/sched/probation_test.go
+++ b/entry/sched/probation_test.go
@@ -10,6 +10,7 @@
 	"limpethitch.example/core/clock"
 	"limpethitch.example/entry/events"
 	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/rules"
 )
 
 // failRuns has n jobs of one task fail on the only worker, the first with the given number.
@@ -105,3 +106,48 @@
 	addTestWorker(next, "w0", 1)
 	return next
 }
+
+// TestSuspicion guards against workers that get nothing for seconds because a few runs failed
+// there by their jobs' own fault, and against a failing worker that is not recognized.
+func TestSuspicion(t *testing.T) {
+	t.Parallel()
+	const jobCPU = 1000
+	// fail has a task of a job fail on a worker.
+	fail := func(s *State, job int, worker string) {
+		doc := newJobInQueue(job, "q", graph.Step{Count: 1, CPUMilli: jobCPU, EstimateMS: 60_000})
+		s.AddJob(doc)
+		tk := s.lookupTask(graph.TaskID{Job: doc.ID})
+		s.newRun(tk, s.workers[worker], tk.attempt+1)
+		s.endRun(tk.run, events.RunFailed, "")
+	}
+	tests := map[string]struct {
+		failures []int // on worker w0, by job
+		// elsewhere are the jobs that fail on another worker first.
+		elsewhere []int
+		want      bool
+	}{
+		"two jobs":                               {failures: []int{1, 2}, want: false},
+		"three jobs":                             {failures: []int{1, 2, 3}, want: true},
+		"one job, again and again":               {failures: []int{1, 1, 1, 1}, want: false},
+		"three jobs that failed elsewhere":       {elsewhere: []int{1, 2, 3}, failures: []int{1, 2, 3}, want: false},
+		"on probation, a job that failed before": {elsewhere: []int{3}, failures: []int{1, 2, 3}, want: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.SetRules(rules.New(2, []rules.Queue{{Name: "q", Service: "svc", MaxAttempts: 100}}, []rules.Team{{Name: "a", Rate: 100}}, rules.Limits{}))
+			addTestWorker(s, "w1", 1)
+			for _, job := range tt.elsewhere {
+				fail(s, job, "w1")
+				s.workers["w1"].failStreak = 0
+			}
+			for _, job := range tt.failures {
+				fail(s, job, "w0")
+			}
+			if diff := cmp.Diff(tt.want, s.now < s.workers["w0"].suspectUntil); diff != "" {
+				t.Errorf("suspected (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -264,39 +264,51 @@
 	// unreachableDuration is how long a worker gets no new tasks after a start did not
 	// reach it or was rejected.
 	unreachableDuration = 600 * time.Millisecond
-	// suspectThreshold is the number of consecutive failures after which a worker is
-	// suspected. Single failures also occur on healthy workers.
-	suspectThreshold = 2
+	// probationThreshold is the number of consecutive failures from which a worker is on
+	// probation, suspectThreshold that from which it is suspected. Two in a row also occur on
+	// healthy workers, several times a second on all of them together, when one run in twenty
+	// fails by its own fault.
+	probationThreshold = 2
+	suspectThreshold   = 3
 )
 
 // isOnProbation reports whether a worker has failed since its last success as suspected
 // workers do. It then runs one task at a time and no member of a gang: a worker that fails
 // all that it starts would otherwise fail as many tasks as fit each time that it is tried
 // again, and after each change of the owner.
-func (w *worker) isOnProbation() bool { return w.failStreak >= suspectThreshold }
+func (w *worker) isOnProbation() bool { return w.failStreak >= probationThreshold }
 
 // evaluateWorker updates a worker's failure record after a run. Failures of different
-// jobs without a success in between make the worker suspected; repeated failures of one
-// job may be the job's own fault, unless the worker is on probation. Failures in the journal
-// of former owners say nothing about the worker's present state, except that it is tried
-// with one task first.
+// jobs without a success in between make the worker suspected. A job that has failed on
+// another worker or repeatedly may itself be at fault, unless the worker is on probation.
+// Failures in the journal of former owners say nothing about the worker's present state,
+// except that it is tried with one task first.
 func (s *State) evaluateWorker(w *worker, r *run, outcome events.RunOutcome) {
-	onProbation := w.isOnProbation() && !s.replaying
 	switch outcome {
 	case events.RunDone:
 		w.failStreak, w.failedJobs = 0, nil
 	case events.RunFailed:
-		if w.failedJobs == nil {
-			w.failedJobs = make(map[string]struct{})
-		}
-		if _, counted := w.failedJobs[r.task.step.job.doc.ID]; counted && !onProbation {
-			return
-		}
-		w.failedJobs[r.task.step.job.doc.ID] = struct{}{}
-		w.failStreak++
-		if w.isOnProbation() && !s.replaying {
-			w.suspectUntil = s.now.Add(suspectDuration)
-		}
+		s.countWorkerFailure(w, r.task.step.job)
 	case events.RunStopped, events.RunLost:
 	}
 }
+
+// countWorkerFailure counts a failed run of a job against its worker.
+func (s *State) countWorkerFailure(w *worker, j *job) {
+	onProbation := w.isOnProbation() && !s.replaying
+	if j.firstFailedOn == "" {
+		j.firstFailedOn = w.spec.ID
+	}
+	_, counted := w.failedJobs[j.doc.ID]
+	if (counted || j.firstFailedOn != w.spec.ID) && !onProbation {
+		return
+	}
+	if w.failedJobs == nil {
+		w.failedJobs = make(map[string]struct{})
+	}
+	w.failedJobs[j.doc.ID] = struct{}{}
+	w.failStreak++
+	if w.failStreak >= suspectThreshold && !s.replaying {
+		w.suspectUntil = s.now.Add(suspectDuration)
+	}
+}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -241,6 +241,8 @@
 	// objective is when the job should be complete, worthlessAt when its result has no
 	// value any more.
 	accepted, objective, worthlessAt clock.Mono
+	// firstFailedOn is the worker on which a run of the job failed first, or empty.
+	firstFailedOn string
 	// overRate is whether the client account exceeded its rate when the job was added.
 	overRate bool
 }
