Learn run times across takeovers, and estimate objectives again

The owner learns run times, but a new owner began with none, and an objective was computed once, when the job was added. Declared times that are far too long had the reverse effect: an objective of 124 s put a job of 10 s behind all others. Ruled out: advice and free CPU (such steps were not examined, being ranked last). Objectives are computed again each 0.5 s. Old journals hold no run times and are read as before; old builds ignore the new field.

--- a/entry/events/events.go
+++ b/entry/events/events.go
@@ -17,6 +17,7 @@
 import (
 	"encoding/json"
 	"strings"
+	"time"
 
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/entry/graph"
@@ -91,6 +92,9 @@
 	Outcome    RunOutcome `json:"h,omitempty"`
 	// Checkpoint is the newest checkpoint known when the run ended.
 	Checkpoint string `json:"v,omitempty"`
+	// RanMS is how long a run that is done took, in milliseconds, or 0 if that is not known.
+	// A new owner learns from it how long the runs of a queue take.
+	RanMS int64 `json:"r,omitempty"`
 }
 
 // Start returns the event for a start that is about to be sent.
@@ -103,6 +107,13 @@
 	return Event{Kind: KindEnd, Task: task.String(), Attempt: attempt, Outcome: outcome, Checkpoint: checkpoint}
 }
 
+// Done returns the event for a run that ended as done after ran.
+func Done(task graph.TaskID, attempt int, checkpoint string, ran time.Duration) Event {
+	e := End(task, attempt, RunDone, checkpoint)
+	e.RanMS = ran.Milliseconds()
+	return e
+}
+
 // Cancel returns the event for a job that was cancelled.
 func Cancel(job string) Event { return Event{Kind: KindCancel, Task: job} }
 
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -37,6 +37,9 @@
 
 func (s *State) rankOf(st *step) rank {
 	j := st.job
+	if s.now.Sub(j.estimatedAt) >= estimateInterval {
+		s.estimate(j)
+	}
 	r := rank{priority: j.queue.Priority, objective: j.objective}
 	switch {
 	case s.now >= j.worthlessAt && !st.spec.Service:
@@ -174,14 +177,21 @@
 	batch := append(s.scratch.overdue[:0], s.overdue[:n]...)
 	clear(s.overdue[:n])
 	s.overdue = s.overdue[n:]
+	for _, st := range batch {
+		st.rank = s.rankOf(st)
+	}
 	slices.SortStableFunc(batch, func(a, b *step) int { return a.rank.compare(b.rank) })
 	for _, st := range batch {
 		if !s.stillWaits(st) {
 			continue
 		}
 		s.place(st)
-		if s.stillWaits(st) {
+		switch {
+		case !s.stillWaits(st):
+		case st.rank.class == classWorthless:
 			s.overdue = append(s.overdue, st)
+		default:
+			s.waiting = append(s.waiting, st)
 		}
 	}
 	clear(batch)
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -67,7 +67,7 @@
 }
 
 // setQueue copies the queue's settings, so that the job can finish after its queue is
-// removed, and computes the job's objective.
+// removed.
 func (s *State) setQueue(j *job) {
 	j.queue = rules.Queue{Name: j.doc.Queue, MaxAttempts: 1, StretchFactor: 1}
 	if s.rules != nil {
@@ -75,25 +75,44 @@
 			j.queue = *q
 		}
 	}
-	target := time.Duration(j.queue.StretchFactor*float64(s.criticalPathMS(j.doc)))*time.Millisecond +
+	s.estimate(j)
+}
+
+// estimateInterval is the time after which a job's expected run time is computed again. A
+// new owner learns the run times of its predecessor's queues only by and by.
+const estimateInterval = 500 * time.Millisecond
+
+// estimate computes the expected run times of a job's steps, and its objective from them.
+func (s *State) estimate(j *job) {
+	j.estimatedAt = s.now
+	paths := s.criticalPathsMS(j.doc)
+	for _, steps := range j.occurrences {
+		for i, st := range steps {
+			st.criticalPathMS = paths[i]
+		}
+	}
+	longest := int64(0)
+	if len(paths) > 0 {
+		longest = slices.Max(paths)
+	}
+	target := time.Duration(j.queue.StretchFactor*float64(longest))*time.Millisecond +
 		time.Duration(j.queue.TargetMS)*time.Millisecond
 	j.objective = j.accepted.Add(target)
 	j.worthlessAt = j.accepted.Add(worthlessFactor * target)
 }
 
-// criticalPathMS returns the expected run time of the longest chain of steps.
-func (s *State) criticalPathMS(doc *graph.Job) int64 {
-	ends := make([]int64, len(doc.Steps))
-	var longest int64
-	for i := range doc.Steps {
+// criticalPathsMS returns, for each step, the expected run time of the longest chain of
+// steps that begins with it.
+func (s *State) criticalPathsMS(doc *graph.Job) []int64 {
+	paths := make([]int64, len(doc.Steps))
+	for i := len(doc.Steps) - 1; i >= 0; i-- {
 		st := &doc.Steps[i]
+		paths[i] += s.runTimes.estimateMS(doc.Queue, st)
 		for _, dep := range st.After {
-			ends[i] = max(ends[i], ends[dep])
+			paths[dep] = max(paths[dep], paths[i])
 		}
-		ends[i] += s.runTimes.estimateMS(doc.Queue, st)
-		longest = max(longest, ends[i])
 	}
-	return longest
+	return paths
 }
 
 // openOccurrence creates the steps of one occurrence and queues those without
@@ -110,13 +129,8 @@
 		st.pendingDeps = len(spec.After)
 		steps[i] = st
 	}
-	for i := len(steps) - 1; i >= 0; i-- {
-		steps[i].criticalPathMS += s.runTimes.estimateMS(j.doc.Queue, steps[i].spec)
-		for _, dep := range steps[i].spec.After {
-			steps[dep].criticalPathMS = max(steps[dep].criticalPathMS, steps[i].criticalPathMS)
-		}
-	}
 	j.occurrences[occurrence] = steps
+	s.estimate(j)
 	for _, st := range steps {
 		if st.pendingDeps == 0 {
 			s.enqueue(st)
--- a/entry/sched/replay.go
+++ b/entry/sched/replay.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"limpethitch.example/core/clock"
 	"limpethitch.example/entry/events"
 	"limpethitch.example/entry/graph"
@@ -71,6 +73,7 @@
 			t.step.checkpoint = e.Checkpoint
 		}
 	}
+	s.runTimes.add(t.step.job.doc.Queue, time.Duration(e.RanMS)*time.Millisecond)
 	if t.run != nil && t.run.attempt == e.Attempt {
 		s.endRun(t.run, e.Outcome, e.Checkpoint)
 		return
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -111,6 +111,7 @@
 	if !r.confirmed {
 		r.confirmed, r.confirmedAt = true, s.now
 		r.progressedAt = s.now
+		r.partial = r.partial || r.fromJournal
 	}
 	r.fromJournal, r.listedBootMS = false, r.worker.spec.BootUnixMS
 	r.tailLatencyMS, r.lastListedAt = item.Load, s.now
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -26,7 +26,7 @@
 func (s *State) newRun(t *task, w *worker, attempt int) *run {
 	st := t.step
 	r := &run{task: t, attempt: attempt, worker: w, size: st.size, charged: st.spec.Declared(), progressedAt: s.now, speedPercent: fullSpeed}
-	r.startDeadline = s.now.Add(s.cfg.StartTTL)
+	r.startDeadline, r.partial = s.now.Add(s.cfg.StartTTL), t.checkpoint != ""
 	t.attempt = attempt
 	st.gangAttempt = max(st.gangAttempt, attempt)
 	t.run = r
@@ -56,7 +56,7 @@
 	if checkpoint != "" {
 		s.saveCheckpoint(r, checkpoint)
 	}
-	s.record(events.End(t.id(), r.attempt, outcome, t.checkpoint))
+	s.recordEnd(r, outcome)
 	w.runs.remove(r)
 	w.used = w.used.Sub(r.size)
 	tm := s.team(st.job.doc.Team)
@@ -74,9 +74,6 @@
 	s.evaluateWorker(w, r, outcome)
 	switch outcome {
 	case events.RunDone:
-		if r.confirmed && !s.replaying {
-			s.runTimes.add(st.job.doc.Queue, s.now.Sub(r.confirmedAt))
-		}
 		s.completeTask(t)
 	case events.RunFailed:
 		t.avoidWorker = w
@@ -86,6 +83,19 @@
 	s.requeue(r)
 }
 
+// recordEnd records the end of a run in the journal, and how long it took if it did all of
+// its task's work.
+func (s *State) recordEnd(r *run, outcome events.RunOutcome) {
+	t := r.task
+	if outcome != events.RunDone || !r.confirmed || r.partial || s.replaying {
+		s.record(events.End(t.id(), r.attempt, outcome, t.checkpoint))
+		return
+	}
+	ran := s.now.Sub(r.confirmedAt)
+	s.runTimes.add(t.step.job.doc.Queue, ran)
+	s.record(events.Done(t.id(), r.attempt, t.checkpoint, ran))
+}
+
 // completeTask marks a task as done and stops its other runs. A gang is done as a whole
 // as soon as one member is. Service tasks are never done.
 func (s *State) completeTask(t *task) {
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -137,6 +137,9 @@
 	stopping      bool
 	stopSentAt    clock.Mono
 	stopAccepted  bool
+	// partial is whether the run does only a part of the task's work, or this owner has
+	// not seen its beginning, so that it does not show how long the task takes.
+	partial bool
 	// fromJournal is whether the run is known only from the journal of a former owner.
 	fromJournal bool
 	// listedBootMS is the boot time of the incarnation that listed the run; 0 is none.
@@ -241,6 +244,8 @@
 	// objective is when the job should be complete, worthlessAt when its result has no
 	// value any more.
 	accepted, objective, worthlessAt clock.Mono
+	// estimatedAt is when the objective and the steps' expected run times were computed.
+	estimatedAt clock.Mono
 	// firstFailedOn is the worker on which a run of the job failed first, or empty.
 	firstFailedOn string
 	// overRate is whether the client account exceeded its rate when the job was added.
