Report VMs as not ready as soon as they are cut off

Ruled out: a shorter time alone. VMs that get few calls hear from the store every 0.9 s while the owner answers them, and a VM that only cannot reach the store has others store for it. The owner's reply to a hello says when it has no authority, so that VMs that are cut off together with the owner notice too. Old builds do not send the flag; their owner then counts as one that decides.

--- a/entry/accept/accept_test.go
+++ b/entry/accept/accept_test.go
@@ -329,3 +329,31 @@
 		})
 	}
 }
+
+// TestOwnerDecides guards against VMs that report themselves ready because an owner answers
+// them that is cut off from the store like they are, or that answered long ago.
+func TestOwnerDecides(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		reply *ownerReply
+		want  bool
+	}{
+		"no reply yet":      {want: false},
+		"owner decides":     {reply: &ownerReply{}, want: true},
+		"without authority": {reply: &ownerReply{HelloReply: engine.HelloReply{WithoutAuthority: true}}, want: false},
+		"long ago":          {reply: &ownerReply{sentAt: -clock.Mono(ownerReplyTTL)}, want: false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, clk := newService(store.NewMemory(), &fakePeers{})
+			if tt.reply != nil {
+				tt.reply.sentAt += clk.Now()
+				s.ownerReply.Store(tt.reply)
+			}
+			if diff := cmp.Diff(tt.want, s.OwnerDecides()); diff != "" {
+				t.Errorf("OwnerDecides (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/accept/owner.go
+++ b/entry/accept/owner.go
@@ -108,6 +108,12 @@
 	return reply != nil && s.clk.Now().Sub(reply.sentAt) < ownerReplyTTL
 }
 
+// OwnerDecides reports whether an owner recently answered this VM that may decide. Jobs can
+// then be stored and started, if need be through other VMs.
+func (s *Service) OwnerDecides() bool {
+	return s.OwnerReachable() && !s.ownerReply.Load().WithoutAuthority
+}
+
 const (
 	// firstCandidates is the number of VMs that take over without a delay: those with
 	// the most CPU.
--- a/entry/engine/hello.go
+++ b/entry/engine/hello.go
@@ -44,6 +44,10 @@
 	// be the owner.
 	Members    []string
 	Candidates int
+	// WithoutAuthority says that the owner may not decide at present, because it has not
+	// renewed its record. That may be an outage of the store, or a partition that both VMs
+	// are in.
+	WithoutAuthority bool
 	// TransferOwnership asks the other VM to take over, because the store answers that
 	// VM but not the owner.
 	TransferOwnership bool
@@ -102,6 +106,8 @@
 		reply.Waiting = t.countWaitingJobs(e.clk.Now())
 		reply.Members, reply.Candidates = e.listMembers()
 		reply.TransferOwnership = e.shouldTransferTo(t, req)
+		_, authority := e.cfg.Elector.Authority()
+		reply.WithoutAuthority = !authority
 		return true
 	})
 	return reply, err
--- a/entry/engine/hello_test.go
+++ b/entry/engine/hello_test.go
@@ -88,3 +88,48 @@
 		t.Error("the slow VM is still the owner")
 	}
 }
+
+// TestHelloWithoutAuthority guards against an owner that is cut off from the store together
+// with other VMs and lets them believe that they can serve.
+func TestHelloWithoutAuthority(t *testing.T) {
+	t.Parallel()
+	clk := clock.NewFake(time.Unix(1000, 0))
+	self := lead.Holder{VM: "vm0", Name: "vm0-a", Addr: "a0"}
+	elector := lead.New(lead.Config{Store: store.NewMemory(), Self: self}, clk, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = elector.Run(ctx)
+		close(ended)
+	}()
+	for _, ok := elector.Term(); !ok; _, ok = elector.Term() {
+		<-elector.Changed()
+	}
+	cancel() // from here on the record is not renewed
+	<-ended
+	e := New(Config{Self: self, Elector: elector, StoreAge: func() time.Duration { return 0 }}, clk, zap.NewNop())
+	e.term = &term{begunAt: clk.Now(), ready: true, waitingJobs: map[string]int{}, waitingJobsAt: clk.Now().Add(time.Hour)}
+	hello := func() bool {
+		type answer struct {
+			reply HelloReply
+			err   error
+		}
+		done := make(chan answer, 1)
+		go func() {
+			reply, err := e.Hello(context.Background(), HelloRequest{From: lead.Holder{Name: "vm1-a", Addr: "a1"}})
+			done <- answer{reply, err}
+		}()
+		(<-e.posts)()
+		a := <-done
+		if a.err != nil {
+			t.Fatal(a.err)
+		}
+		return a.reply.WithoutAuthority
+	}
+	got := []bool{hello()}
+	clk.Advance(lead.AuthorityDuration)
+	got = append(got, hello())
+	if diff := cmp.Diff([]bool{false, true}, got); diff != "" {
+		t.Errorf("without authority, before and after it ended (-want +got):\n%s", diff)
+	}
+}
