Keep runs whose start was not answered

Cause, by reading: after three unanswered tries of a start within 0.8 s the owner stopped the run. If the worker was only slow, or only its answers were lost, work that had begun was given up; a gang with one such member was stopped as a whole. Ruled out: waiting without a bound. A start carries a time on the worker's clock after which it is refused, so the first list that was asked for later shows for certain whether the run began. Change: an unanswered start is left alone until the worker's list shows the run or the start has expired, 2 s after the decision. Tests: TestUnansweredStartGoesOn, red before in its rows with a listed run (two stops) and an unlisted one. TestInvariantsUnderFaults passes.

--- a/entry/sched/decision.go
+++ b/entry/sched/decision.go
@@ -23,7 +23,6 @@
 // Reasons for a stop.
 const (
 	ReasonEnded          Reason = "job or task ended"
-	ReasonUnknownOutcome Reason = "outcome of the start unknown"
 	ReasonStalled        Reason = "no progress"
 	ReasonGangBroken     Reason = "a member of the gang ended"
 	ReasonUnknownRun     Reason = "unknown run"
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -174,6 +174,53 @@
 	}
 }
 
+// TestUnansweredStartGoesOn guards against giving up the run of a worker that was only slow to
+// answer, and against a task that is started again before it is certain that the first start
+// has no effect.
+func TestUnansweredStartGoesOn(t *testing.T) {
+	t.Parallel()
+	const beforeExpiry, afterExpiry = time.Second, 2100 * time.Millisecond
+	type result struct{ Starts, Stops int }
+	tests := map[string]struct {
+		polledAt time.Duration // after the start
+		listed   bool
+		want     result // of decisions after the start
+	}{
+		"listed":                          {polledAt: beforeExpiry, listed: true, want: result{}},
+		"listed late":                     {polledAt: afterExpiry, listed: true, want: result{}},
+		"not listed, may still begin":     {polledAt: beforeExpiry, want: result{}},
+		"not listed, can no longer begin": {polledAt: afterExpiry, want: result{Starts: 1}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 60_000}))
+			s.Decide(testNow)
+			s.SetNow(testNow.Add(800*time.Millisecond), 10_800)
+			s.StartAnswered(taskID(0, 0), 1, "w0", OutcomeUnknown)
+			rep := Report{Worker: "w0", BootUnixMS: 1, PolledAt: testNow.Add(tt.polledAt)}
+			if tt.listed {
+				rep.Running = []RunStatus{{Task: taskID(0, 0), Attempt: 1, Percent: 1}}
+			}
+			s.Observe(rep)
+			var got result
+			for _, d := range s.Decide(testNow.Add(tt.polledAt + 10*time.Millisecond)) {
+				switch d.(type) {
+				case Start:
+					got.Starts++
+				case Stop:
+					got.Stops++
+				case RequestAdvice, Throttle:
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("decisions (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestStalled guards against stopping healthy runs on a worker that was unreachable for a
 // while, and against leaving a run on a worker where it makes no progress.
 func TestStalled(t *testing.T) {
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -237,11 +237,8 @@
 		}
 		return
 	case OutcomeUnknown:
-		// A service task may be serving by now; the worker's next list shows whether it
-		// runs.
-		if !r.task.step.spec.Service {
-			s.stop(r, ReasonUnknownOutcome)
-		}
+		// The run may have begun although all answers were lost or late. The worker's next
+		// lists show it; without one, the run is given up when the start has expired.
 		return
 	case OutcomeNoTicket:
 		r.task.step.advice.dropTicket(workerID)
