Read the operators' keys again after a pause before using them

Cause, by reading: a process that was frozen for seconds and woke up checked calls against the configuration that it had read before, until its watch, which may hang for 2.7 s in a call from before the freeze, brought the next version. A key withdrawn meanwhile was in use again; an owner that could still renew its record started tasks in a data centre that had been taken out of service. Ruled out: a condition on the configuration's revision in each write, which would fail all writes in flight at each of a series of changes. Until the keys are read again calls are refused as not run (LH2004, 503) and the owner decides nothing.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -61,6 +61,9 @@
 	CPUMilli int64
 	// StoreAge returns the time since the store last answered this VM.
 	StoreAge func() time.Duration
+	// RulesCurrent reports whether the configuration was read since this process was last
+	// paused. Calls are refused until then. Nil means that it was.
+	RulesCurrent func() bool
 }
 
 // Call describes one request of a client. Key is its API key.
@@ -116,7 +119,7 @@
 // with.
 func (s *Service) admit(c Call) (*rules.Queue, string, rcode.Code) {
 	ruleSet := s.ruleSet.Load()
-	if ruleSet == nil {
+	if ruleSet == nil || s.cfg.RulesCurrent != nil && !s.cfg.RulesCurrent() {
 		return nil, "", rcode.NoPolicy
 	}
 	q, ok := ruleSet.Match(c.Host, c.Path)
--- a/entry/accept/accept_test.go
+++ b/entry/accept/accept_test.go
@@ -357,3 +357,31 @@
 		})
 	}
 }
+
+// TestCallsAfterPause guards against calls with a withdrawn key that a process accepts after a
+// pause, before it has read the configuration again.
+func TestCallsAfterPause(t *testing.T) {
+	t.Parallel()
+	st := store.NewMemory()
+	s, _ := newService(st, &fakePeers{codes: []rcode.Code{rcode.OK}})
+	current := false
+	s.cfg.RulesCurrent = func() bool { return current }
+	ctx := context.Background()
+	call := Call{Host: "h", Path: "/q/00000000000000aa", Key: "k"}
+	build := func(id string) (*graph.Job, error) {
+		return &graph.Job{Steps: []graph.Step{{Count: 1, CPUMilli: 1}}}, nil
+	}
+	_, state := s.State(ctx, call)
+	got := []rcode.Code{s.Submit(ctx, call, build), s.Cancel(ctx, call), state}
+	want := []rcode.Code{rcode.NoPolicy, rcode.NoPolicy, rcode.NoPolicy}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("codes before the configuration was read again (-want +got):\n%s", diff)
+	}
+	if kvs, _, err := st.List(ctx, engine.JobPrefix); err != nil || len(kvs) > 0 {
+		t.Errorf("stored %v, error %v", kvs, err)
+	}
+	current = true
+	if diff := cmp.Diff(rcode.OK, s.Submit(ctx, call, build)); diff != "" {
+		t.Errorf("code afterwards (-want +got):\n%s", diff)
+	}
+}
--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -64,6 +64,9 @@
 	Metrics *stats.Metrics
 	// StoreAge returns the time since the store last answered this VM.
 	StoreAge func() time.Duration
+	// RulesCurrent reports whether the configuration was read since this process was last
+	// paused. Nothing is decided until then. Nil means that it was.
+	RulesCurrent func() bool
 	// StatusRetention is how long the state of a finished job must stay readable.
 	StatusRetention time.Duration
 	// MaxStopTime is how long a worker may take to stop a run.
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -52,7 +52,7 @@
 	if wait := max(t.decidedAt, t.advisedAt).Add(minRoundInterval).Sub(now); wait > 0 {
 		return wait, true
 	}
-	if _, ok := e.cfg.Elector.Authority(); !ok {
+	if _, ok := e.cfg.Elector.Authority(); !ok || e.cfg.RulesCurrent != nil && !e.cfg.RulesCurrent() {
 		return tickInterval, true
 	}
 	if t.writing {
--- a/entry/sched/decision.go
+++ b/entry/sched/decision.go
@@ -22,14 +22,14 @@
 
 // Reasons for a stop.
 const (
-	ReasonEnded          Reason = "job or task ended"
-	ReasonStalled        Reason = "no progress"
-	ReasonGangBroken     Reason = "a member of the gang ended"
-	ReasonUnknownRun     Reason = "unknown run"
-	ReasonPaused         Reason = "paused for too long"
-	ReasonWorkerExits    Reason = "worker shuts down or is drained"
-	ReasonPreempted      Reason = "preempted for a gang"
-	ReasonRepeated       Reason = "not ended after an earlier stop"
+	ReasonEnded       Reason = "job or task ended"
+	ReasonStalled     Reason = "no progress"
+	ReasonGangBroken  Reason = "a member of the gang ended"
+	ReasonUnknownRun  Reason = "unknown run"
+	ReasonPaused      Reason = "paused for too long"
+	ReasonWorkerExits Reason = "worker shuts down or is drained"
+	ReasonPreempted   Reason = "preempted for a gang"
+	ReasonRepeated    Reason = "not ended after an earlier stop"
 )
 
 // Stop orders a worker to stop a run, or to refuse it if the start arrives later.
