Bound the tasks of a schedule that are open at one time

Cause, by reading while looking for one message that ends a process: a job of 10,000 tasks and 10,000 occurrences that are all due at once passes the checks of an accepted job, and the owner opened all of them in one round: a hundred million records. It would end by its memory, and each owner after it, since the job is stored. Change: beyond graph.MaxTasks (10,000) tasks that are not done, the occurrences of a job follow one another; at least one is always open. Test: TestDueOccurrences; without the bound its second row opens 10,000 occurrences.

--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -127,6 +127,7 @@
 			st.tasks[k] = &task{step: st, index: k}
 		}
 		st.pendingDeps = len(spec.After)
+		j.openTasks += spec.Count
 		steps[i] = st
 	}
 	j.occurrences[occurrence] = steps
@@ -138,6 +139,20 @@
 	}
 }
 
+// mayOpenOccurrence reports whether the tasks of another occurrence may be held beside those
+// that are not done yet. A schedule may have thousands of occurrences due at once, each with
+// thousands of tasks; beyond graph.MaxTasks of them the occurrences follow one another.
+func (j *job) mayOpenOccurrence() bool {
+	if j.openTasks == 0 {
+		return true
+	}
+	tasks := 0
+	for i := range j.doc.Steps {
+		tasks += j.doc.Steps[i].Count
+	}
+	return j.openTasks+tasks <= graph.MaxTasks
+}
+
 // openDueOccurrences opens the scheduled occurrences that are due.
 func (s *State) openDueOccurrences() {
 	keep := s.scheduled[:0]
@@ -148,7 +163,7 @@
 		next := 0
 		for next < len(j.occurrences) {
 			if j.occurrences[next] == nil {
-				if s.monoTime(j.doc.DueUnixMS(next)) > s.now {
+				if s.monoTime(j.doc.DueUnixMS(next)) > s.now || !j.mayOpenOccurrence() {
 					break
 				}
 				s.openOccurrence(j, next)
@@ -244,6 +259,7 @@
 		st.unassigned--
 	}
 	t.done = true
+	st.job.openTasks--
 	st.remaining--
 	if st.remaining > 0 {
 		return
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -307,6 +307,51 @@
 	}
 }
 
+// TestDueOccurrences guards against one job whose occurrences are all due at once and take all
+// of the owner's memory, which would end each owner in turn.
+func TestDueOccurrences(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		tasks, occurrences int
+		want               int // open occurrences
+	}{
+		"few tasks":              {tasks: 2, occurrences: 100, want: 100},
+		"many tasks":             {tasks: 1000, occurrences: 10_000, want: graph.MaxTasks / 1000},
+		"more than half a limit": {tasks: graph.MaxTasks/2 + 1, occurrences: 10_000, want: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			doc := newJob(graph.Step{Count: tt.tasks, CPUMilli: 1, EstimateMS: 100})
+			doc.Occurrences = tt.occurrences
+			if err := doc.Check(); err != nil {
+				t.Fatal(err)
+			}
+			s.AddJob(doc)
+			s.Decide(testNow)
+			open := func() (n int) {
+				for _, steps := range s.jobs[testJob].occurrences {
+					if steps != nil {
+						n++
+					}
+				}
+				return n
+			}
+			if diff := cmp.Diff(tt.want, open()); diff != "" {
+				t.Errorf("open occurrences (-want +got):\n%s", diff)
+			}
+			for i := range tt.tasks {
+				s.markDone(s.lookupTask(graph.TaskID{Job: testJob, Index: i}))
+			}
+			s.Decide(testNow.Add(time.Second))
+			if diff := cmp.Diff(min(tt.want+1, tt.occurrences), open()); diff != "" {
+				t.Errorf("open occurrences after the first is done (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestAcceptedByWrongClock guards against a job that counts as late, or as not due for a
 // long time, because the clock of the VM that accepted it is wrong.
 func TestAcceptedByWrongClock(t *testing.T) {
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -245,6 +245,7 @@
 	firstStartAt clock.Mono
 	occurrences  [][]*step
 	stepsLeft    int
+	openTasks    int // tasks of opened occurrences that are not done
 	// objective is when the job should be complete, worthlessAt when its result has no
 	// value any more.
 	accepted, objective, worthlessAt clock.Mono
