--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -87,9 +87,7 @@
 	j.estimatedAt = s.now
 	paths := s.criticalPathsMS(j.doc)
 	for _, steps := range j.occurrences {
-		for i, st := range steps {
-			st.runTimeMS, st.criticalPathMS = s.runTimes.estimateMS(j.doc.Queue, st.spec), paths[i]
-		}
+		s.setRunTimes(j, steps, paths)
 	}
 	longest := int64(0)
 	if len(paths) > 0 {
@@ -101,6 +99,13 @@
 	j.worthlessAt = j.accepted.Add(worthlessFactor * target)
 }
 
+// setRunTimes sets the expected run times of one occurrence's steps, given their critical paths.
+func (s *State) setRunTimes(j *job, steps []*step, paths []int64) {
+	for i, st := range steps {
+		st.runTimeMS, st.criticalPathMS = s.runTimes.estimateMS(j.doc.Queue, st.spec), paths[i]
+	}
+}
+
 // criticalPathsMS returns, for each step, the expected run time of the longest chain of
 // steps that begins with it.
 func (s *State) criticalPathsMS(doc *graph.Job) []int64 {
@@ -131,7 +136,7 @@
 		steps[i] = st
 	}
 	j.occurrences[occurrence] = steps
-	s.estimate(j)
+	s.setRunTimes(j, steps, s.criticalPathsMS(j.doc))
 	for _, st := range steps {
 		if st.pendingDeps == 0 {
 			s.enqueue(st)
