--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -77,6 +77,9 @@
 	round := t.round
 	for _, ev := range list {
 		e.cfg.Metrics.CountEvent(ev.Kind.Name(), ev.Outcome.Name())
+		if ev.Kind == events.KindAdvice {
+			continue // logged when it was received
+		}
 		e.log.Info("event", zap.String("kind", ev.Kind.Name()), zap.String("task", ev.Task), zap.Int("attempt", ev.Attempt),
 			zap.String("worker", ev.Worker), zap.String("how", ev.Outcome.Name()), zap.Int64("epoch", t.Epoch()), zap.Int64("round", round))
 	}
--- a/entry/events/events.go
+++ b/entry/events/events.go
@@ -34,6 +34,9 @@
 	KindEnd Kind = "e"
 	// KindCancel means that a job was cancelled before it was complete.
 	KindCancel Kind = "c"
+	// KindAdvice means that the advising service allowed a step on workers. Nothing depends
+	// on it; a new owner need not ask about the step's other workers again.
+	KindAdvice Kind = "a"
 )
 
 // RunOutcome is how a run ended.
@@ -58,6 +61,8 @@
 		return "end"
 	case KindCancel:
 		return "cancel"
+	case KindAdvice:
+		return "advice"
 	default:
 		return string(k)
 	}
@@ -82,7 +87,8 @@
 // Event is one entry of the journal. The fields are exported for the JSON encoding.
 type Event struct {
 	Kind Kind `json:"k"`
-	// Task is the task's id, or the job's id for KindCancel.
+	// Task is the task's id, the job's id for KindCancel, or the id of the step's first task for
+	// KindAdvice.
 	Task    string `json:"t"`
 	Attempt int    `json:"a,omitempty"`
 	// Worker and BootUnixMS identify the incarnation of the worker that the start is
@@ -95,6 +101,8 @@
 	// RanMS is how long a run that is done took, in milliseconds, or 0 if that is not known.
 	// A new owner learns from it how long the runs of a queue take.
 	RanMS int64 `json:"r,omitempty"`
+	// Allowed are the ids of the workers that the step is allowed on.
+	Allowed []string `json:"l,omitempty"`
 }
 
 // Start returns the event for a start that is about to be sent.
@@ -114,6 +122,11 @@
 	return e
 }
 
+// Advice returns the event for an answer that allows the step of a task on workers.
+func Advice(task graph.TaskID, allowed []string) Event {
+	return Event{Kind: KindAdvice, Task: task.String(), Allowed: allowed}
+}
+
 // Cancel returns the event for a job that was cancelled.
 func Cancel(job string) Event { return Event{Kind: KindCancel, Task: job} }
 
--- a/entry/rules/rules.go
+++ b/entry/rules/rules.go
@@ -28,6 +28,11 @@
 	ValidMS int64
 }
 
+// CostMS returns the duration of a call about a number of workers, in milliseconds.
+func (a *AdviceConfig) CostMS(workers int) int64 {
+	return int64(a.BaseMS + a.PerWorkerMS*float64(workers))
+}
+
 // Queue accepts jobs for a host name and a path prefix.
 type Queue struct {
 	Name, Host, Prefix string
--- a/entry/sched/advice.go
+++ b/entry/sched/advice.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"limpethitch.example/core/clock"
+	"limpethitch.example/entry/events"
 	"limpethitch.example/entry/graph"
 	"limpethitch.example/entry/rules"
 )
@@ -254,8 +255,7 @@
 // requestAdviceOnce emits one request unless all VMs are busy.
 func (s *State) requestAdviceOnce(st *step, workers []*worker) bool {
 	a := &st.advice
-	q := st.job.queue.Advice
-	cost := int64(q.BaseMS + q.PerWorkerMS*float64(len(workers)))
+	cost := st.job.queue.Advice.CostMS(len(workers))
 	vm, ok := s.cfg.ReserveAdviser(cost)
 	if !ok {
 		return false
@@ -297,7 +297,8 @@
 }
 
 // AdviceReceived records the answer to a request about the workers asked. The tickets
-// are valid until the given time. ok is false for a failed request.
+// are valid until the given time. ok is false for a failed request. Answers that renew tickets
+// say nothing about the share of the workers that is allowed: only allowed ones are asked about.
 func (s *State) AdviceReceived(stepName string, asked []string, tickets []Ticket, until clock.Mono, ok bool) {
 	st := s.lookupStep(stepName)
 	if st == nil {
@@ -311,17 +312,44 @@
 	if !ok {
 		return
 	}
-	if len(asked) > 0 {
+	renewal := len(asked) > 0 && a.answered[asked[0]]
+	if len(asked) > 0 && !renewal {
 		s.allowedShares.add(st.job.doc.Queue, float64(len(tickets))/float64(len(asked)))
 	}
+	a.add(asked)
+	for _, id := range asked {
+		delete(a.allowed, id)
+	}
+	allowed := make([]string, 0, len(tickets))
+	for _, t := range tickets {
+		a.allowed[t.Worker] = ticket{value: t.Value, expiresAt: until}
+		allowed = append(allowed, t.Worker)
+	}
+	if q := st.job.queue.Advice; !renewal && q != nil && q.CostMS(len(asked)) >= minKeptAdviceMS {
+		s.record(events.Advice(st.tasks[0].id(), allowed))
+	}
+}
+
+// minKeptAdviceMS is the cost of a call to the advising service from which its answer is kept
+// in the journal. After a takeover there are many steps to ask about at once, and the answers
+// do not change.
+const minKeptAdviceMS = 60
+
+// add notes workers that advice was received about.
+func (a *adviceState) add(asked []string) {
 	if a.answered == nil {
 		a.answered, a.allowed = make(map[string]bool), make(map[string]ticket)
 	}
 	for _, id := range asked {
 		a.answered[id] = true
 	}
-	for _, t := range tickets {
-		a.allowed[t.Worker] = ticket{value: t.Value, expiresAt: until}
+}
+
+// restore notes the workers that a former owner was allowed, whose tickets must be renewed.
+func (a *adviceState) restore(allowed []string) {
+	a.add(allowed)
+	for _, id := range allowed {
+		a.allowed[id] = ticket{}
 	}
 }
 
--- a/entry/sched/advice_test.go
+++ b/entry/sched/advice_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -93,3 +94,74 @@
 		t.Errorf("events %v", events)
 	}
 }
+
+// TestAdviceAfterTakeover guards against a new owner that asks about all workers again for each
+// waiting step: with a hundred gangs that takes the advising service several seconds.
+func TestAdviceAfterTakeover(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		baseMS  float64
+		renewal []bool   // of the new owner's requests
+		asked   []string // in them, or nil for all workers
+	}{
+		"long calls":  {baseMS: 500, renewal: []bool{true}, asked: []string{"w1", "w2"}},
+		"short calls": {baseMS: 5, renewal: []bool{false}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, &rules.AdviceConfig{BaseMS: tt.baseMS, PerWorkerMS: 1, ValidMS: 1500})
+			for i := 1; i < 4; i++ {
+				addTestWorker(s, fmt.Sprintf("w%d", i), 1)
+			}
+			// The workers are full, so that the step waits with its advice.
+			s.AddJob(newJob(graph.Step{Count: 2, CPUMilli: 20_000, EstimateMS: 5000}))
+			full := newJobInQueue(9, "", graph.Step{Count: 4, CPUMilli: 30_000, EstimateMS: 60_000})
+			s.AddJob(full)
+			s.Decide(testNow)
+			s.AdviceReceived(testJob+".0.0", []string{"w0", "w1", "w2", "w3"}, []Ticket{{Worker: "w1", Value: "t"}, {Worker: "w2", Value: "t"}}, testNow.Add(time.Second), true)
+			next := restart(s)
+			for i := 1; i < 4; i++ {
+				addTestWorker(next, fmt.Sprintf("w%d", i), 1)
+			}
+			next.Cancel(full.ID)
+			var renewal []bool
+			var asked []string
+			for _, d := range next.Decide(testNow.Add(5 * time.Second)) {
+				if a, ok := d.(RequestAdvice); ok {
+					renewal = append(renewal, a.Renewal)
+					asked = append(asked, a.Workers...)
+				}
+			}
+			slices.Sort(asked)
+			if diff := cmp.Diff(tt.renewal, renewal); diff != "" {
+				t.Errorf("renewals among the requests (-want +got):\n%s", diff)
+			}
+			if tt.asked != nil {
+				if diff := cmp.Diff(tt.asked, asked); diff != "" {
+					t.Errorf("workers asked about (-want +got):\n%s", diff)
+				}
+			}
+		})
+	}
+}
+
+// TestAllowedShare guards against answers that renew tickets and make it look as if a queue
+// were allowed on most workers, so that its steps ask about too few.
+func TestAllowedShare(t *testing.T) {
+	t.Parallel()
+	s := newState(t, &rules.AdviceConfig{BaseMS: 10, PerWorkerMS: 1, ValidMS: 1500})
+	s.AddJob(newJob(graph.Step{Count: 2, CPUMilli: 20_000, EstimateMS: 5000}))
+	step := testJob + ".0.0"
+	s.AdviceReceived(step, []string{"w0", "w1", "w2", "w3"}, []Ticket{{Worker: "w1", Value: "t"}}, testNow.Add(time.Second), true)
+	first := s.allowedShares.share("q")
+	s.AdviceReceived(step, []string{"w1"}, []Ticket{{Worker: "w1", Value: "t"}}, testNow.Add(time.Second), true)
+	if diff := cmp.Diff(first, s.allowedShares.share("q")); diff != "" {
+		t.Errorf("allowed share after a renewal (-want +got):\n%s", diff)
+	}
+	// A worker that is not allowed any more gets no further renewals.
+	s.AdviceReceived(step, []string{"w1"}, nil, testNow.Add(time.Second), true)
+	if diff := cmp.Diff(0, len(s.lookupStep(step).advice.allowed)); diff != "" {
+		t.Errorf("allowed workers (-want +got):\n%s", diff)
+	}
+}
--- a/entry/sched/replay.go
+++ b/entry/sched/replay.go
@@ -46,6 +46,8 @@
 		s.replayStart(t, e)
 	case events.KindEnd:
 		s.replayEnd(t, e)
+	case events.KindAdvice:
+		t.step.advice.restore(e.Allowed)
 	case events.KindCancel:
 	}
 }
