Use workers whose entries lapsed while they answer polls

At 36.5 the owner counted 40 of 432 workers as usable, at 37.5 323, though it had polled the others all the time; 101 steps waited. The platform says that entries which lapsed during an outage are back within two seconds if the worker lives. Ruled out: unresponsive workers (86, those of the data centre that was cut off). Change: a worker that is taken off the list without having reported its shutdown gets tasks for two more seconds while it answers polls. Tests: TestDelistedWorker (red without the change).

--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -278,6 +278,7 @@
 		c.listed = false
 		e.log.Info("worker no longer listed", zap.String("worker", id))
 	}
+	t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
 	t.state.DelistWorker(id)
 	t.dirty = true
 }
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -215,15 +215,17 @@
 
 // acceptsWork reports whether a worker may get new tasks of any kind.
 func (s *State) acceptsWork(w *worker) bool {
-	if !w.isReporting() || w.spec.Draining || s.outOfService[w.spec.DataCentre] {
+	if !s.isReporting(w) || w.spec.Draining || s.outOfService[w.spec.DataCentre] {
 		return false
 	}
 	return s.now >= w.suspectUntil && s.drainDeadlines[w.spec.ID] == 0
 }
 
-// isReporting reports whether the worker is listed, answers polls and has reported its
-// runs to this owner.
-func (w *worker) isReporting() bool { return w.listed && w.runsKnown && !w.unresponsive }
+// isReporting reports whether the worker is listed or may be listed again, answers polls and
+// has reported its runs to this owner.
+func (s *State) isReporting(w *worker) bool {
+	return s.isUsable(w) && w.runsKnown && !w.unresponsive
+}
 
 // capacityFor returns how many more tasks of a step fit on a worker, at most n. Capacity
 // that is reserved for a gang is open only to that gang and to queues with a higher
--- a/entry/sched/drain.go
+++ b/entry/sched/drain.go
@@ -21,7 +21,7 @@
 // unless the worker is listed, answers polls and has reported its runs.
 func (s *State) RunCount(workerID string) (runs int, known bool) {
 	w := s.workers[workerID]
-	if w == nil || !w.isReporting() {
+	if w == nil || !s.isReporting(w) {
 		return 0, false
 	}
 	return len(w.runs) + w.unknownRuns, true
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -174,6 +174,48 @@
 	}
 }
 
+// TestDelistedWorker guards against workers that get nothing for seconds because their entries
+// lapsed in an outage of the store, and against using one that has left.
+func TestDelistedWorker(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		before func(s *State) // the worker is taken off the list
+		after  time.Duration
+		relist bool
+		want   int // tasks started
+		known  bool
+	}{
+		"answers polls":                  {after: time.Second, want: 1, known: true},
+		"answers polls, not listed soon": {after: relistTime, want: 0},
+		"listed again":                   {after: relistTime, relist: true, want: 1, known: true},
+		"does not answer":                {before: func(s *State) { s.WorkerUnresponsive("w0") }, after: time.Second, want: 0, known: true},
+		"has reported its shutdown":      {before: func(s *State) { drain(s, "w0") }, after: time.Second, want: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			spec := s.workers["w0"].spec
+			if tt.before != nil {
+				tt.before(s)
+			}
+			s.DelistWorker("w0")
+			if tt.relist {
+				s.SetNow(testNow.Add(tt.after/2), 10_000)
+				s.PutWorker(spec)
+			}
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 5000}))
+			got := len(startsOf(s.Decide(testNow.Add(tt.after))))
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("tasks started (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.known, s.HasWorker("w0")); diff != "" {
+				t.Errorf("worker known (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestUnansweredStartGoesOn guards against giving up the run of a worker that was only slow to
 // answer, and against a task that is started again before it is certain that the first start
 // has no effect.
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -85,8 +85,10 @@
 	spec WorkerSpec
 	used amount.Vec
 	runs runSet
-	// listed is whether the worker is on the platform's list.
-	listed bool
+	// listed is whether the worker is on the platform's list. One that was taken off may be
+	// used until usableUntil.
+	listed      bool
+	usableUntil clock.Mono
 	// runsKnown is whether this owner has read the worker's own list of runs.
 	runsKnown bool
 	// unresponsive is whether the worker left the last poll unanswered.
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"limpethitch.example/core/clock"
 	"limpethitch.example/entry/events"
@@ -23,18 +24,31 @@
 	w.spec, w.listed = spec, true
 }
 
+// relistTime is how long a worker that answers polls is used after it was taken off the
+// platform's list without having reported its shutdown. Entries lapse in an outage of the
+// store, and are back within two seconds of its return if the worker lives.
+const relistTime = 2 * time.Second
+
 // DelistWorker records that a worker is no longer on the platform's list. It gets no new
-// tasks, and its runs are kept until they have certainly ended.
+// tasks once relistTime is over, and its runs are kept until they have certainly ended.
 func (s *State) DelistWorker(id string) {
-	if w := s.workers[id]; w != nil {
-		w.listed = false
-		s.removeIfUnused(w)
+	w := s.workers[id]
+	if w == nil {
+		return
+	}
+	if w.listed && !w.spec.Draining {
+		w.usableUntil = s.now.Add(relistTime)
 	}
+	w.listed = false
+	s.removeIfUnused(w)
 }
 
+// isUsable reports whether a worker is listed or may be listed again.
+func (s *State) isUsable(w *worker) bool { return w.listed || s.now < w.usableUntil }
+
 // removeIfUnused deletes the record of a delisted worker that has no runs.
 func (s *State) removeIfUnused(w *worker) {
-	if !w.listed && len(w.runs) == 0 {
+	if !s.isUsable(w) && len(w.runs) == 0 {
 		delete(s.workers, w.spec.ID)
 		s.index.update(w, false)
 		s.workerList = slices.DeleteFunc(s.workerList, func(o *worker) bool { return o == w })
@@ -92,6 +106,9 @@
 // all expired.
 func (s *State) endExpiredRuns() {
 	for _, w := range slices.Clone(s.workerList) {
+		if !w.listed {
+			s.removeIfUnused(w)
+		}
 		if !w.unresponsive && w.listed || len(w.runs) == 0 || w.leaseExpiry == 0 || s.now < w.leaseExpiry {
 			continue
 		}
