Bound the searches for preemption in a round, and poll less often than the CPU allows

The owner fell behind its messages. Two loads were found: each waiting gang searched all its workers for runs to stop, four times a second, also while no more room could be kept (counted in TestRoundCost: 6,000,000 workers examined in a round of 2,000 gangs, 6,000 with the bound); and 3,000 polls a second that only wait for a run to end. Change: a round searches for two gangs at most, and for none while no room is left. A poll waits as long as keeps the number of polls to two a second for each thousandth of a core, up to 1.9 s; an owner of 0.8 of a core with up to 1,600 workers polls as before. Tried and taken out: a gang that needs more workers than are left keeps those that rank after it from stopping runs.

--- a/entry/engine/lostreply.go
+++ b/entry/engine/lostreply.go
@@ -9,9 +9,12 @@
 	lossyShare = 0.01
 	// minPollWait is the shortest wait of a poll while replies are lost.
 	minPollWait = 200 * time.Millisecond
-	// pollsPerCPUMilli is the number of polls a second that an owner may add for each
+	// pollsPerCPUMilli is the number of polls a second that an owner may make for each
 	// thousandth of a core that it has.
 	pollsPerCPUMilli = 2
+	// longestPollWait is the wait of an owner with too many workers for its CPU, less than
+	// the two seconds that the platform allows.
+	longestPollWait = 1900 * time.Millisecond
 )
 
 // replyLoss estimates the share of polls that workers leave unanswered although they can be
@@ -33,14 +36,16 @@
 }
 
 // pollWait returns how long polls may wait for a run to end, for an owner with the given
-// number of workers and share of the CPU.
+// number of workers and share of the CPU. An owner that polls more workers than it can keeps
+// its other messages waiting, such as those about workers that shut down.
 func (l *replyLoss) pollWait(workers int, cpuMilli int64) time.Duration {
-	if !l.isHigh() {
-		return maxPollWait
-	}
 	affordable := maxPollWait
 	if cpuMilli > 0 {
 		affordable = time.Duration(workers) * time.Second / time.Duration(pollsPerCPUMilli*cpuMilli)
 	}
-	return min(maxPollWait, max(minPollWait, affordable))
+	least := maxPollWait
+	if l.isHigh() {
+		least = minPollWait
+	}
+	return min(longestPollWait, max(least, affordable))
 }
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -70,8 +70,9 @@
 	// busyQueues counts, by queue, the steps for which no VM was free to call the advising
 	// service in this round.
 	busyQueues map[string]int
-	// examined counts the workers examined for waiting steps in this round.
-	examined int
+	// examined counts the workers examined for waiting steps in this round, searches the gangs
+	// for which runs to stop were searched.
+	examined, searches int
 }
 
 // Decide expires, stops, moves and starts runs as of now and returns the resulting
--- a/entry/sched/index.go
+++ b/entry/sched/index.go
@@ -59,7 +59,7 @@
 
 // indexWorkers brings the index up to date for a round.
 func (s *State) indexWorkers() {
-	s.scratch.examined = 0
+	s.scratch.examined, s.scratch.searches = 0, 0
 	for _, w := range s.workerList {
 		s.index.update(w, s.acceptsWork(w) && w.unknownRuns == 0)
 	}
--- a/entry/sched/index_test.go
+++ b/entry/sched/index_test.go
@@ -84,6 +84,21 @@
 			},
 			limit: 2 * waiting,
 		},
+		"gangs that batch tasks could make room for": {
+			prepare: func(s *State) {
+				s.rules = rules.New(2, []rules.Queue{{Name: "q", Service: "svc", StretchFactor: 9, TargetMS: 9000}, {Name: "low", Service: "svc", Priority: 2, StretchFactor: 9}},
+					[]rules.Team{{Name: "a", Rate: 1e6}}, rules.Limits{})
+				for i := range workers {
+					s.AddJob(newJobInQueue(i, "low", graph.Step{Count: 1, CPUMilli: fullCPU - 1000, EstimateMS: 1000, Checkpointing: true}))
+				}
+				s.Decide(testNow)
+				for i := range waiting {
+					s.AddJob(newJobInQueue(workers+i, "q", graph.Step{Count: 2 * workers, CPUMilli: 2000, EstimateMS: 1000, Gang: true}))
+				}
+			},
+			at:    preemptAfter,
+			limit: maxSearches * workers,
+		},
 		"backlog without value that fits nowhere": {
 			prepare: func(s *State) {
 				addUnfitting(s, waiting)
--- a/entry/sched/preempt.go
+++ b/entry/sched/preempt.go
@@ -19,6 +19,9 @@
 	preemptAfter = 1500 * time.Millisecond
 	// preemptInterval is the time between two searches for runs to stop for one gang.
 	preemptInterval = 250 * time.Millisecond
+	// maxSearches is the number of gangs for which a round searches. A search examines all
+	// workers that the gang may use, and hundreds of gangs may wait.
+	maxSearches = 2
 	// maxKeptShare is the share of the workers on which room may be kept for several gangs at
 	// one time. A single gang may need more.
 	maxKeptShare = 0.15
@@ -95,9 +98,10 @@
 // runs.
 func (s *State) preemptFor(st *step, limit int) int {
 	p := &st.preemption
-	if s.now.Sub(st.readyAt) < preemptAfter || s.now.Sub(p.searchedAt) < preemptInterval {
+	if limit <= 0 || s.scratch.searches == maxSearches || s.now.Sub(st.readyAt) < preemptAfter || s.now.Sub(p.searchedAt) < preemptInterval {
 		return 0
 	}
+	s.scratch.searches++
 	p.searchedAt = s.now
 	stoppedAt := s.now.Add(s.cfg.MaxStopDuration + stopReportTime)
 	if rooms := s.findRooms(st, limit, stoppedAt); rooms != nil {
@@ -120,6 +124,7 @@
 	need := st.remaining
 	var rooms []memberRoom
 	for w := range s.allowedWorkers(st, withOrWithoutTicket, anyFreeCPU) {
+		s.scratch.examined++
 		if w.reservedFor != nil || !suits(w, st) || w.isOnProbation() {
 			continue
 		}
