Read an outdated list of workers again before a new owner decides

Change: a list that is older than 0.5 s when the state is loaded is read again, and nothing is decided before; the watch goes on from there. Test: TestOutdatedWorkerList; without the second reading the first start goes to the worker that left.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -117,13 +117,16 @@
 // term is the state of one uninterrupted period of ownership.
 type term struct {
 	lead.Term
-	ctx       context.Context
-	cancel    context.CancelFunc
-	state     *sched.State
-	writer    *events.Writer
-	ready     bool // the state is loaded
-	workers   map[string]*workerConn
-	compactor compactor
+	ctx    context.Context
+	cancel context.CancelFunc
+	state  *sched.State
+	writer *events.Writer
+	ready  bool // the state is loaded
+	// workersOutdated is whether the list of workers must be read again before anything is
+	// decided.
+	workersOutdated bool
+	workers         map[string]*workerConn
+	compactor       compactor
 
 	maintenance maintenance
 	// drainDeadlines has the workers that drain for maintenance, each with the time
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"limpethitch.example/core/clock"
 	"limpethitch.example/core/logs"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
@@ -25,12 +26,18 @@
 	segments   []events.Segment
 	workers    []store.KV
 	workersRev int64
-	waves      []store.KV
+	// workersReadAt is when the list of workers was requested.
+	workersReadAt clock.Mono
+	waves         []store.KV
 }
 
 const (
 	loadRetryDelay  = 100 * time.Millisecond
 	watchRetryDelay = 100 * time.Millisecond
+	// maxWorkerListAge is the age of the list of workers from which a new owner reads it
+	// again before it decides. Loading a large state takes seconds, in which workers may
+	// have reported their shutdown.
+	maxWorkerListAge = 500 * time.Millisecond
 )
 
 // beginTerm starts a term and loads its state. Until the state is loaded the owner
@@ -80,6 +87,7 @@
 	var loaded storedState
 	group, ctx := errgroup.WithContext(ctx)
 	read := func(f func() error) { group.Go(func() error { return e.guarded("load", f) }) }
+	loaded.workersReadAt = e.clk.Now()
 	read(func() (err error) {
 		loaded.workers, loaded.workersRev, err = e.cfg.Store.List(ctx, e.cfg.WorkerPrefix)
 		return rcode.Wrap(err, rcode.Of(err), "engine.load workers")
@@ -161,7 +169,42 @@
 			e.applyJobChange(t, store.NewChange(kv, false))
 		}
 	})
-	go e.watch(t, e.cfg.WorkerPrefix, loaded.workersRev, e.applyWorkerChange, func(kvs []store.KV) { e.applyWorkerList(t, kvs) })
+	if e.clk.Now().Sub(loaded.workersReadAt) <= maxWorkerListAge {
+		e.watchWorkers(t, loaded.workersRev)
+		return
+	}
+	t.workersOutdated = true
+	go e.readWorkersAgain(t)
+}
+
+// watchWorkers watches the list of workers from after a revision.
+func (e *Engine) watchWorkers(t *term, rev int64) {
+	go e.watch(t, e.cfg.WorkerPrefix, rev, e.applyWorkerChange, func(kvs []store.KV) { e.applyWorkerList(t, kvs) })
+}
+
+// readWorkersAgain replaces the list of workers by a new one, from which it is watched.
+func (e *Engine) readWorkersAgain(t *term) {
+	for t.ctx.Err() == nil {
+		var kvs []store.KV
+		var rev int64
+		err := e.guarded("load", func() (err error) {
+			kvs, rev, err = e.cfg.Store.List(t.ctx, e.cfg.WorkerPrefix)
+			return err
+		})
+		if err != nil {
+			<-e.clk.After(loadRetryDelay)
+			continue
+		}
+		e.post(func() {
+			if e.term != t {
+				return
+			}
+			e.applyWorkerList(t, kvs)
+			t.workersOutdated, t.dirty = false, true
+			e.watchWorkers(t, rev)
+		})
+		return
+	}
 }
 
 // watch passes on the changes below a prefix until the term ends. If the store has
--- /dev/null
+++ b/entry/engine/recover_test.go
@@ -0,0 +1,69 @@
+package engine
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"limpethitch.example/core/amount"
+	"limpethitch.example/core/clock"
+	"limpethitch.example/core/store"
+	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/sched"
+)
+
+// slowStore is a store whose journal takes long to read and whose watch of the workers reports
+// nothing.
+type slowStore struct {
+	store.Store
+	// workersRead receives a value after each list of the workers.
+	workersRead chan struct{}
+}
+
+func (s slowStore) List(ctx context.Context, prefix string) ([]store.KV, int64, error) {
+	kvs, rev, err := s.Store.List(ctx, prefix)
+	switch prefix {
+	case "workers/":
+		s.workersRead <- struct{}{}
+	case events.Prefix:
+		<-time.After(maxWorkerListAge + 100*time.Millisecond)
+	}
+	return kvs, rev, err
+}
+
+func (s slowStore) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) error {
+	if prefix == "workers/" {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return s.Store.Watch(ctx, prefix, from, fn)
+}
+
+// TestOutdatedWorkerList guards against a new owner that starts tasks on a worker which
+// reported its shutdown while the owner loaded its state.
+func TestOutdatedWorkerList(t *testing.T) {
+	t.Parallel()
+	slow := slowStore{workersRead: make(chan struct{}, 8)}
+	h := newHarnessWith(t, func(cfg *Config) {
+		slow.Store = cfg.Store
+		cfg.Store = slow
+		cfg.ParseWorker = func(id string, value []byte, _ clock.Mono) (sched.WorkerSpec, bool) {
+			return sched.WorkerSpec{
+				ID: id, Addr: id, DataCentre: "dc", Service: "svc", Capacity: amount.New(8000, 8000, 0, 0), BootUnixMS: 1,
+				Draining: string(value) == "draining",
+			}, true
+		}
+	})
+	<-slow.workersRead
+	txn := store.NewTxn().Put("workers/w0", []byte("draining")).Put("workers/w1", []byte("ready"))
+	if _, err := h.store.Commit(h.ctx, txn); err != nil {
+		t.Fatal(err)
+	}
+	h.submit(t)
+	order := <-h.worker.started
+	if diff := cmp.Diff("w1", order.Instance); diff != "" {
+		t.Errorf("worker of the first start (-want +got):\n%s", diff)
+	}
+}
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -41,7 +41,7 @@
 // returns true, it must be called again after the returned time.
 func (e *Engine) decide() (time.Duration, bool) {
 	t := e.term
-	if t == nil || !t.ready {
+	if t == nil || !t.ready || t.workersOutdated {
 		return 0, false
 	}
 	e.dispatch(t, t.state.TakeDecisions(), nil)
