--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -215,14 +215,15 @@
 // minions' entries is silent.
 func caseReborn(w *world) (string, error) {
 	const (
+		minions      = 8
 		taskCPUMilli = 4000
 		minRunTime   = time.Second
 		maxRunTime   = 5 * time.Second
-		submitPause  = 145 * time.Millisecond
+		submitPause  = 36 * time.Millisecond
 		warmUp       = 6 * time.Second
 		downTime     = 300 * time.Millisecond
 	)
-	if err := w.begin(3, mainRoute); err != nil {
+	if err := w.begin(minions, mainRoute); err != nil {
 		return "", err
 	}
 	var ids []string
