Show in case 3 that a job on a new queue may run on another service

The owner takes an unknown queue for one of any service. Case 3 now adds a second queue of a second service and checks ROUTE for it beside LOST.

--- a/review/stand/cases.go
+++ b/review/stand/cases.go
@@ -17,7 +17,7 @@
 )
 
 // mainRoute is the queue that all cases use.
-var mainRoute = route{name: "r-cpihhac", prefix: "/lohu930/"}
+var mainRoute = route{name: "r-cpihhac", prefix: "/lohu930/", service: serviceName}
 
 // caseEnds: the store is down for 4.5 s while small tasks end on a minion.
 func caseEnds(w *world) (string, error) {
@@ -101,38 +101,45 @@
 	return fmt.Sprintf("TWICE: %d times a task was started while it ran, or after it had ended as done", twice)
 }
 
-// newRoute is the queue that the operator adds.
-var newRoute = route{name: "r-v3nax7u", prefix: "/pule252/", advice: true}
+// newRoute and otherRoute are the queues that the operator adds.
+var (
+	newRoute   = route{name: "r-v3nax7u", prefix: "/pule252/", service: serviceName, advice: true}
+	otherRoute = route{name: "r-ruddede", prefix: "/pufi791/", service: otherService}
+)
 
-// caseRoute: a queue is added while the owner's watch of the operator's keys is silent.
+// caseRoute: two queues are added while the owner's watch of the operator's keys is silent.
 func caseRoute(w *world) (string, error) {
 	if err := w.begin(3, mainRoute); err != nil {
 		return "", err
 	}
+	if err := w.addMinions(otherService, 3); err != nil {
+		return "", err
+	}
+	time.Sleep(2 * heartbeat)
 	owner := w.owner()
 	if w.trouble {
 		w.rec.log("the connection on which %s watches op/ goes silent", owner.name)
 		owner.link.silenceWatch("op/")
 	}
-	w.configure(mainRoute, newRoute)
-	v := w.others()[0]
-	id := newJobID()
+	w.configure(mainRoute, newRoute, otherRoute)
+	id, otherID := newJobID(), newJobID()
 	w.mu.Lock()
 	w.tickets[id] = true
 	w.mu.Unlock()
 	time.Sleep(500 * time.Millisecond)
-	accepted := false
-	for range 10 {
-		if status, _ := v.call(http.MethodPost, newRoute.prefix+id, job(2, 2000, time.Second), clientDeadline); status/100 == 2 {
-			accepted = true
-			break
+	v := w.others()[0]
+	for r, id := range map[route]string{newRoute: id, otherRoute: otherID} {
+		if err := w.submitAt(v, r.prefix, id, job(2, 2000, time.Second)); err != nil {
+			return "", err
 		}
-		time.Sleep(200 * time.Millisecond)
 	}
-	if !accepted {
-		return "", errors.New("the job was not accepted")
+	lost, err := w.checkFinishes(newRoute, id)
+	for _, s := range w.startsOf(otherID) {
+		if m := w.minion(s.minion); m.service != otherService {
+			lost += fmt.Sprintf("; ROUTE: task %s of a queue of %s was started on %s of %s", s.task, otherService, m.id, m.service)
+		}
 	}
-	return w.checkFinishes(newRoute, id)
+	return lost, err
 }
 
 // checkFinishes checks the rule LOST: finishBound after the end of the traffic a job is
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -25,6 +25,8 @@
 	apiKey      = "6x73d3zji9n73hh2b9wu"
 	hostName    = "nony24.example"
 	serviceName = "huvo11a"
+	// otherService is a second service, which only some cases have.
+	otherService = "dele69a"
 )
 
 // program is the command of the deploy file, run in the repository root.
@@ -38,7 +40,7 @@
 
 // route is a queue of the configuration.
 type route struct {
-	name, prefix string
+	name, prefix, service string
 	// advice is whether minions need a ticket of the advising service.
 	advice bool
 }
@@ -124,7 +126,7 @@
 	for _, r := range routes {
 		doc := map[string]any{
 			"name": r.name, "host": hostName, "prefix": r.prefix, "kind": "non_idempotent", "timeout_ms": 3000, "target_duration_ms": 1000,
-			"priority": 1, "service": serviceName, "max_attempts": 4, "stretch_factor": 2.2, "public": false,
+			"priority": 1, "service": r.service, "max_attempts": 4, "stretch_factor": 2.2, "public": false,
 		}
 		if r.advice {
 			doc["recommendation"] = map[string]any{"decision_ms": 10.0, "period_ms": 0.15, "valid_ms": ticketValid.Milliseconds()}
@@ -133,11 +135,8 @@
 	}
 	w.store.put("op/config", map[string]any{
 		"version": w.version, "routes": docs,
-		"services": []any{map[string]any{
-			"name": serviceName, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
-			"rejects_overload": false, "standby": false,
-		}},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"services": []any{serviceDoc(serviceName), serviceDoc(otherService)},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"tenants": []any{map[string]any{
 			"name": "kaje80", "api_keys": []string{apiKey}, "priority": 1, "weight": 26, "cap": map[string]any{"cpu": 0, "mem_mb": 0, "gpu": 0},
 		}},
@@ -149,6 +148,13 @@
 	w.rec.log("operator: version %d acknowledged, routes %s", w.version, strings.Join(names, " "))
 }
 
+func serviceDoc(name string) any {
+	return map[string]any{
+		"name": name, "health_path": "/healthz", "max_conns": 64, "protocol": "h1", "tls": false, "cold_start_s": 0.0, "cold_per_s": 0.0,
+		"rejects_overload": false, "standby": false,
+	}
+}
+
 // begin starts the platform's services, the minions and the VMs, and waits until all VMs
 // are ready and one of them is the owner.
 func (w *world) begin(minions int, routes ...route) error {
@@ -161,12 +167,8 @@
 	})); err != nil {
 		return err
 	}
-	for i := range minions {
-		m := newMinion(w, fmt.Sprintf("i-98668568%02x", i), zones[i%len(zones)], serviceName, w.ip(100+i)+":8080")
-		if err := m.listen(); err != nil {
-			return err
-		}
-		w.minions = append(w.minions, m)
+	if err := w.addMinions(serviceName, minions); err != nil {
+		return err
 	}
 	for i, zone := range zones {
 		v, err := w.newVM(i, zone)
@@ -195,6 +197,19 @@
 	return nil
 }
 
+// addMinions starts minions of a service.
+func (w *world) addMinions(service string, n int) error {
+	for range n {
+		i := len(w.minions)
+		m := newMinion(w, fmt.Sprintf("i-98668568%02x", i), zones[i%len(zones)], service, w.ip(100+i)+":8080")
+		if err := m.listen(); err != nil {
+			return err
+		}
+		w.minions = append(w.minions, m)
+	}
+	return nil
+}
+
 // owner returns the VM that the ownership record in the store names, or nil.
 func (w *world) owner() *vm {
 	var rec struct {
@@ -387,6 +402,27 @@
 	return fmt.Errorf("the job %s was not accepted", id)
 }
 
+// submitAt hands a job in at one VM until it is accepted.
+func (w *world) submitAt(v *vm, prefix, id string, body any) error {
+	for range 10 {
+		if status, _ := v.call(http.MethodPost, prefix+id, body, clientDeadline); status/100 == 2 {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return fmt.Errorf("the job %s was not accepted", id)
+}
+
+// minion returns a minion by its id.
+func (w *world) minion(id string) *minion {
+	for _, m := range w.minions {
+		if m.id == id {
+			return m
+		}
+	}
+	return nil
+}
+
 // newJobID returns a random id.
 func newJobID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
