--- a/entry/sched/load.go
+++ b/entry/sched/load.go
@@ -17,9 +17,10 @@
 	// new tasks.
 	UsedCPU, CPU int64
 	// Workers counts the workers that may get new tasks, Suspected those that may not
-	// because runs failed or stalled there or starts were refused, Unresponsive those that
-	// did not answer the last polls.
-	Workers, Suspected, Unresponsive int
+	// because runs failed or stalled there or starts were refused, OnProbation those that
+	// may get few tasks until one succeeds, Unresponsive those that did not answer the last
+	// polls.
+	Workers, Suspected, OnProbation, Unresponsive int
 }
 
 // Load returns the current load.
@@ -41,6 +42,9 @@
 		if s.now < w.suspectUntil {
 			l.Suspected++
 		}
+		if w.isOnProbation() {
+			l.OnProbation++
+		}
 		if w.unresponsive {
 			l.Unresponsive++
 		}
