Let gangs try workers on probation, so that gangs alone do not wait for ever

Cause: a worker on which runs of two jobs failed is on probation until a run succeeds there, and gave no room to members of a gang (sched.capacityFor). Where all jobs are gangs no run can succeed, so no probation ends. Once each worker has had its turn of failing, no gang ever starts.

Change: two seconds after a worker's suspicion would have ended, a gang may try it if the other workers do not suffice. One task or one gang tries it at a time; a failure begins the wait anew. Weighed: an end of the probation after a time (a worker that fails all would get as many tasks as fit again) and one member a worker (a gang with more members than workers would still wait for ever). Racks of gangs that must not span racks are chosen among the other workers first, too.

Test: TestGangsAfterProbation. With the exclusion put back four rows fail (all on probation, more members than workers, sound worker then the other, the gang that tried the worker is done); TestProbation is as it was.

--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -236,10 +236,7 @@
 		return 0
 	}
 	if w.isOnProbation() {
-		if st.spec.Gang || len(w.runs) > 0 {
-			return 0
-		}
-		n = min(n, 1)
+		n = s.trialCapacity(w, st, n)
 	}
 	free := w.free()
 	s.scratch.examined++
@@ -266,11 +263,24 @@
 }
 
 // fit is a worker and the number of tasks of a step that fit on it. Lower costs come
-// first.
+// first, after them the workers that a gang would try on probation.
 type fit struct {
 	worker *worker
 	count  int
 	cost   float64
+	trial  bool
+}
+
+// compare orders fits.
+func (f fit) compare(o fit) int {
+	switch {
+	case f.trial == o.trial:
+		return cmp.Or(cmp.Compare(f.cost, o.cost), cmp.Compare(f.worker.spec.ID, o.worker.spec.ID))
+	case o.trial:
+		return -1
+	default:
+		return 1
+	}
 }
 
 // placementPenalty is added to the cost of a worker that comes after all others: one outside
@@ -302,11 +312,9 @@
 		if st.spec.DataRack != "" && !slices.Contains(w.spec.Labels, st.spec.DataRack) {
 			cost += placementPenalty
 		}
-		out = append(out, fit{worker: w, count: count, cost: cost})
+		out = append(out, fit{worker: w, count: count, cost: cost, trial: st.spec.Gang && w.isOnProbation()})
 	}
-	slices.SortFunc(out, func(a, b fit) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
+	slices.SortFunc(out, fit.compare)
 	s.scratch.fits = out
 	return out
 }
@@ -382,10 +390,23 @@
 	return amount.New(v.CPUMilli()*k, v.MemoryMiB()*k, v.Accelerators()*k, 0)
 }
 
-// gangFits returns workers that together have capacity for need tasks, or nil. A SameRack
-// gang is placed on one rack if any rack has the capacity.
+// gangFits returns workers that together have capacity for need tasks, or nil. It takes
+// workers on probation only if the others do not suffice.
 func (s *State) gangFits(st *step, need int, tickets ticketFilter) []fit {
 	fits := s.findFits(st, need, tickets)
+	sound := fits
+	if i := slices.IndexFunc(fits, func(f fit) bool { return f.trial }); i >= 0 {
+		sound = fits[:i]
+	}
+	if chosen := chooseFits(st, sound, need); chosen != nil || len(sound) == len(fits) {
+		return chosen
+	}
+	return chooseFits(st, fits, need)
+}
+
+// chooseFits returns the first fits that together hold need tasks of a gang, or nil. A
+// SameRack gang is placed on one rack if any rack has the capacity.
+func chooseFits(st *step, fits []fit, need int) []fit {
 	if st.spec.SameRack {
 		if onRack := takeEnough(firstRackWith(fits, need), need); onRack != nil {
 			return onRack
@@ -440,9 +461,7 @@
 			list = append(list, fit{worker: w, count: n, cost: -float64(w.free().CPUMilli())})
 		}
 	}
-	slices.SortFunc(list, func(a, b fit) int {
-		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.worker.spec.ID, b.worker.spec.ID))
-	})
+	slices.SortFunc(list, fit.compare)
 	chosen := takeEnough(list, need)
 	for _, f := range chosen {
 		f.worker.reservedFor = st
--- a/entry/sched/probation_test.go
+++ b/entry/sched/probation_test.go
@@ -151,3 +151,108 @@
 		})
 	}
 }
+
+// failOn has tasks of two jobs, the first with the given number, fail on a worker.
+func failOn(s *State, worker string, first int) {
+	for i := range probationThreshold {
+		doc := newJobInQueue(first+i, "q", graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 60_000})
+		s.AddJob(doc)
+		tk := s.lookupTask(graph.TaskID{Job: doc.ID})
+		s.newRun(tk, s.workers[worker], tk.attempt+1)
+		s.endRun(tk.run, events.RunFailed, "")
+		s.Cancel(doc.ID)
+	}
+}
+
+// endAttempt reports the end of all runs of one job on a worker.
+func endAttempt(s *State, worker, job string, outcome events.RunOutcome) {
+	w := s.workers[worker]
+	rep := Report{Worker: worker, BootUnixMS: w.spec.BootUnixMS, PolledAt: s.now}
+	for _, r := range w.runs {
+		id := r.task.id()
+		if id.Job == job {
+			rep.Ended = append(rep.Ended, RunEnd{Seq: w.lastSeenSeq + int64(len(rep.Ended)) + 1, Task: id, Attempt: r.attempt, Outcome: outcome})
+		} else {
+			rep.Running = append(rep.Running, RunStatus{Task: id, Attempt: r.attempt})
+		}
+	}
+	s.Observe(rep)
+}
+
+// TestGangsAfterProbation guards against gangs that wait for ever, while all workers are sound
+// and idle, once each worker has failed some runs and only gangs are left to run.
+func TestGangsAfterProbation(t *testing.T) {
+	t.Parallel()
+	const (
+		gangJob, otherJob = 1, 2
+		resumed           = suspectDuration + gangTrialDelay
+	)
+	gang := func(members int) graph.Step {
+		return graph.Step{Count: members, CPUMilli: 10_000, EstimateMS: 1000, Gang: true}
+	}
+	tests := map[string]struct {
+		failing []string // workers on which runs of two jobs fail first
+		members int
+		at      time.Duration // after the failures
+		// then changes the state at that time, before the gang is added.
+		then func(s *State, now clock.Mono)
+		want map[string]int // members started by worker
+	}{
+		"all on probation, too early":  {failing: []string{"w0", "w1"}, members: 2, at: resumed - 1, want: map[string]int{}},
+		"all on probation":             {failing: []string{"w0", "w1"}, members: 2, at: resumed, want: map[string]int{"w0": 2}},
+		"more members than workers":    {failing: []string{"w0", "w1"}, members: 6, at: resumed, want: map[string]int{"w0": 3, "w1": 3}},
+		"sound worker first":           {failing: []string{"w0"}, members: 3, at: resumed, want: map[string]int{"w1": 3}},
+		"sound worker, then the other": {failing: []string{"w0"}, members: 4, at: resumed, want: map[string]int{"w1": 3, "w0": 1}},
+		"another gang tries the worker": {
+			failing: []string{"w0", "w1"}, members: 4, at: resumed,
+			then: func(s *State, now clock.Mono) {
+				s.AddJob(newJobInQueue(otherJob, "q", gang(1)))
+				s.Decide(now)
+			},
+			want: map[string]int{},
+		},
+		"the gang that tried the worker failed": {
+			failing: []string{"w0", "w1"}, members: 4, at: resumed,
+			then: func(s *State, now clock.Mono) {
+				s.AddJob(newJobInQueue(otherJob, "q", gang(1)))
+				s.Decide(now)
+				endAttempt(s, "w0", newJobInQueue(otherJob, "q").ID, events.RunFailed)
+				s.Cancel(newJobInQueue(otherJob, "q").ID)
+			},
+			want: map[string]int{},
+		},
+		"the gang that tried the worker is done": {
+			failing: []string{"w0", "w1"}, members: 4, at: resumed,
+			then: func(s *State, now clock.Mono) {
+				s.AddJob(newJobInQueue(otherJob, "q", gang(1)))
+				s.Decide(now)
+				endAttempt(s, "w0", newJobInQueue(otherJob, "q").ID, events.RunDone)
+			},
+			want: map[string]int{"w0": 3, "w1": 1},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newLargeState(t, 2)
+			for i, w := range tt.failing {
+				failOn(s, w, 100+10*i)
+			}
+			now := testNow.Add(tt.at)
+			s.Decide(now)
+			if tt.then != nil {
+				tt.then(s, now)
+			}
+			s.AddJob(newJobInQueue(gangJob, "q", gang(tt.members)))
+			got := make(map[string]int)
+			for _, d := range s.Decide(now) {
+				if st, ok := d.(Start); ok && st.Task.Job == newJobInQueue(gangJob, "q").ID {
+					got[st.Worker]++
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("members started by worker (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
