End a worker's probation when a service task works there

What callers would see: tasks that last, or any others, wait although workers are idle but for one service task each.

Change: a service task that has been at work for three seconds no longer counts as the trial of its worker, and ends the probation if it was started after the last failure.

--- a/entry/sched/probation.go
+++ b/entry/sched/probation.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"limpethitch.example/entry/events"
@@ -20,6 +21,9 @@
 	// gangTrialDelay is how long tasks that are not gangs may try a worker on probation first,
 	// after it was suspected. One failing worker costs a gang the work of all its members.
 	gangTrialDelay = 2 * time.Second
+	// serviceTrialTime is how long a service task must be at work to show that its worker is
+	// sound: it has no end as done.
+	serviceTrialTime = 3 * time.Second
 )
 
 // isOnProbation reports whether a worker has failed since its last success as suspected
@@ -33,7 +37,7 @@
 // nothing but gangs waits.
 func (s *State) trialCapacity(w *worker, st *step, n int) int {
 	switch {
-	case len(w.runs) > 0:
+	case w.hasTrial():
 		return 0
 	case !st.spec.Gang:
 		return min(n, 1)
@@ -44,6 +48,26 @@
 	}
 }
 
+// hasTrial reports whether a run on the worker may still show whether the worker is sound.
+func (w *worker) hasTrial() bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool { return !r.hasServed() })
+}
+
+// hasServed reports whether the run is a service task that has been at work for
+// serviceTrialTime. Time without reports does not count.
+func (r *run) hasServed() bool {
+	return r.task.step.spec.Service && r.progress >= progressComplete && r.lastListedAt.Sub(r.progressedAt) >= serviceTrialTime
+}
+
+// evaluateService ends the probation of a worker on which a service task works that was
+// started after the worker's last failure.
+func (s *State) evaluateService(r *run) {
+	w := r.worker
+	if w.isOnProbation() && r.hasServed() && !r.partial && r.confirmedAt > w.failedAt {
+		w.failStreak, w.failedJobs = 0, nil
+	}
+}
+
 // evaluateWorker updates a worker's failure record after a run. Failures of different
 // jobs without a success in between make the worker suspected. A job that has failed on
 // another worker or repeatedly may itself be at fault, unless the worker is on probation.
@@ -74,7 +98,7 @@
 	}
 	w.failedJobs[j.doc.ID] = struct{}{}
 	w.failStreak++
-	w.gangTrialAt = s.now.Add(gangTrialDelay)
+	w.failedAt, w.gangTrialAt = s.now, s.now.Add(gangTrialDelay)
 	if s.replaying {
 		return
 	}
--- a/entry/sched/probation_test.go
+++ b/entry/sched/probation_test.go
@@ -256,3 +256,54 @@
 		})
 	}
 }
+
+// TestServiceOnProbation guards against a worker on probation that gets nothing but one service
+// task, because that task never ends.
+func TestServiceOnProbation(t *testing.T) {
+	t.Parallel()
+	service := graph.Step{Count: 8, CPUMilli: 1000, Service: true}
+	tests := map[string]struct {
+		// before is whether one service task ran before the failures.
+		before bool
+		// percent is the progress of the service task, at is when it is reported again.
+		percent int
+		at      time.Duration
+		want    int // tasks started then
+	}{
+		"starting up":                       {percent: 50, at: serviceTrialTime, want: 0},
+		"at work for a short time":          {percent: 100, at: serviceTrialTime - 1, want: 0},
+		"at work":                           {percent: 100, at: serviceTrialTime, want: 7},
+		"at work since before the failures": {before: true, percent: 100, at: serviceTrialTime, want: 1},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			report := func(at time.Duration) {
+				s.SetNow(testNow.Add(at), 20_000)
+				rep := Report{Worker: "w0", BootUnixMS: 1, PolledAt: s.now}
+				for _, r := range s.workers["w0"].runs {
+					rep.Running = append(rep.Running, RunStatus{Task: r.task.id(), Attempt: r.attempt, Percent: tt.percent})
+				}
+				s.Observe(rep)
+			}
+			if tt.before {
+				one := service
+				one.Count = 1
+				s.AddJob(newJobInQueue(2, "q", one))
+				s.Decide(testNow)
+				report(0)
+			}
+			failOn(s, "w0", 100)
+			s.AddJob(newJobInQueue(1, "q", service))
+			const startedAt = time.Second
+			s.Decide(testNow.Add(startedAt))
+			report(startedAt)
+			report(startedAt + tt.at)
+			got := len(startsOf(s.Decide(s.now)))
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("tasks started (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -106,8 +106,9 @@
 	// failedJobs holds those jobs.
 	failStreak int
 	failedJobs map[string]struct{}
-	// gangTrialAt is when gangs may try the worker if it is on probation.
-	gangTrialAt clock.Mono
+	// failedAt is when the last counted failure was reported, gangTrialAt when gangs may try
+	// the worker if it is on probation.
+	failedAt, gangTrialAt clock.Mono
 	// suspectUntil is the time until which the worker gets no new tasks.
 	suspectUntil clock.Mono
 	// reservedFor is the gang that the worker's free capacity is reserved for.
