--- a/entry/sched/probation_test.go
+++ b/entry/sched/probation_test.go
@@ -307,3 +307,23 @@
 		})
 	}
 }
+
+// TestNoReservationOnProbation guards against a worker on probation that is kept free for a
+// gang, although the gang may not try it yet, and so gets no task that could show that it is
+// sound.
+func TestNoReservationOnProbation(t *testing.T) {
+	t.Parallel()
+	s := newLargeState(t, 2)
+	failOn(s, "w0", 100)
+	busy := newJobInQueue(1, "q", graph.Step{Count: 1, CPUMilli: fullCPU, EstimateMS: 60_000})
+	s.AddJob(busy)
+	s.newRun(s.lookupTask(graph.TaskID{Job: busy.ID}), s.workers["w1"], 1)
+	s.AddJob(newJobInQueue(2, "q", graph.Step{Count: 4, CPUMilli: 10_000, EstimateMS: 600_000, Gang: true}))
+	s.Decide(testNow)
+	now := testNow.Add(reserveAfter)
+	s.AddJob(newJobInQueue(3, "q", graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 900_000}))
+	want := []graph.TaskID{{Job: newJobInQueue(3, "q").ID}}
+	if diff := cmp.Diff(want, startsOf(s.Decide(now))); diff != "" {
+		t.Errorf("starts (-want +got):\n%s", diff)
+	}
+}
