Take no run as lost from a list of ends that the worker has cut

Cause: a worker lists at most 500 ended runs at a time and the rest once these were acknowledged. While the store is down no end can be stored, so none is acknowledged, and the list stays cut. sched.State.reconcile took a run that was in neither list as lost and queued its task again; with the next, further list the end came, too late.

Ruled out: a lapsed lease (all first runs ended as done) and a change of the owner (one term, epoch 1, in the logs).

The ends follow in order, since each poll acknowledges what is stored.

The fake workers of the fault soak cut their lists as well. Related paths, read only: pages of the store (has_more) and of VMs (next_token) are read to the end, calls for advice are split at 100 workers, the product's own worker protocol cuts no list.

--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -33,8 +33,12 @@
 	// withholdEnds keeps ended runs out of the replies until releaseEnd is called.
 	withholdEnds bool
 	withheld     []sched.RunEnd
-	started      chan StartOrder
-	polled       chan PollOrder
+	// maxListed is the number of ended runs in a reply; 0 is no limit. keepEnds keeps
+	// acknowledged ones in the replies, as if their acknowledgement were late.
+	maxListed int
+	keepEnds  bool
+	started   chan StartOrder
+	polled    chan PollOrder
 }
 
 func newFakeWorker() *fakeWorker {
@@ -90,10 +94,13 @@
 		reply.Running = append(reply.Running, sched.RunStatus{Task: e.Task, Attempt: e.Attempt})
 	}
 	for _, e := range w.ended {
-		if e.Seq > o.AckThrough {
+		if e.Seq > o.AckThrough || w.keepEnds {
 			reply.Ended = append(reply.Ended, e)
 		}
 	}
+	if w.maxListed > 0 && len(reply.Ended) >= w.maxListed {
+		reply.Ended, reply.MoreEnds = reply.Ended[:w.maxListed], true
+	}
 	return reply, ctx.Err()
 }
 
@@ -187,13 +194,18 @@
 	}
 }
 
-// waitForStatus waits until the owner reports a status that accept returns true for.
+// waitForStatus waits until the owner reports a status of testJob that accept returns true for.
 func (h *harness) waitForStatus(t *testing.T, accept func(JobStatus) bool) JobStatus {
+	t.Helper()
+	return h.waitForStatusOf(t, testJob, accept)
+}
+
+func (h *harness) waitForStatusOf(t *testing.T, id string, accept func(JobStatus) bool) JobStatus {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(h.ctx, 20*time.Second)
 	defer cancel()
 	for {
-		status, err := h.engine.Job(ctx, testJob)
+		status, err := h.engine.Job(ctx, id)
 		if err == nil && accept(status) {
 			return status
 		}
--- a/entry/engine/ports.go
+++ b/entry/engine/ports.go
@@ -59,6 +59,9 @@
 	BootUnixMS int64
 	Running    []sched.RunStatus
 	Ended      []sched.RunEnd
+	// MoreEnds is whether the worker may have ended runs that did not fit into the reply.
+	// They follow once those in Ended were acknowledged.
+	MoreEnds bool
 }
 
 // Workers sends orders to workers. An error has the code rcode.NotOwner if the worker
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -220,6 +220,7 @@
 	t.state.SetNow(now, e.clk.Wall().UnixMilli())
 	lastEnd := t.state.Observe(sched.Report{
 		Worker: c.id, BootUnixMS: reply.BootUnixMS, PolledAt: sent, Running: reply.Running, Ended: reply.Ended,
+		MoreEnds: reply.MoreEnds,
 	})
 	if lastEnd > c.ackableEnd {
 		c.ackableEnd, c.ackableRound = lastEnd, t.round+1
--- a/entry/engine/workerconn_test.go
+++ b/entry/engine/workerconn_test.go
@@ -10,6 +10,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"limpethitch.example/core/store"
+	"limpethitch.example/entry/sched"
 )
 
 // partitionedWorkers is a set of workers of which some do not reply to polls.
@@ -112,3 +113,36 @@
 		t.Errorf("a poll without a reply times out after %v, want at most %v", w.timeout, maxPollWait+pollReplySlack)
 	}
 }
+
+// TestCutListOfEnds guards against tasks that run again because their ends did not fit into a
+// worker's reply.
+func TestCutListOfEnds(t *testing.T) {
+	t.Parallel()
+	const otherJob = "00000000000000bb"
+	h := newHarness(t)
+	h.worker.mu.Lock()
+	h.worker.withholdEnds, h.worker.maxListed, h.worker.keepEnds = true, 1, true
+	h.worker.mu.Unlock()
+	h.submit(t)
+	h.submitAs(t, otherJob)
+	for range 2 {
+		<-h.worker.started
+	}
+	h.worker.releaseEnd()
+	h.worker.releaseEnd()
+	for len(h.worker.polled) > 0 {
+		<-h.worker.polled
+	}
+	for range 5 { // polls whose replies list the first end only
+		<-h.worker.polled
+	}
+	h.worker.mu.Lock()
+	h.worker.keepEnds = false
+	h.worker.mu.Unlock()
+	for _, id := range []string{testJob, otherJob} {
+		h.waitForStatusOf(t, id, func(s JobStatus) bool { return s.State == sched.JobDone })
+	}
+	if diff := cmp.Diff(0, len(h.worker.started)); diff != "" {
+		t.Errorf("further starts (-want +got):\n%s", diff)
+	}
+}
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -29,10 +29,16 @@
 	return s
 }
 
-func addTestWorker(s *State, id string, bootMS int64) {
+// listTestWorker adds a worker whose runs are not known yet.
+func listTestWorker(s *State, id string, bootMS int64) {
 	s.PutWorker(WorkerSpec{
 		ID: id, Addr: id, DataCentre: "dc", Service: "svc", Capacity: amount.New(32000, 64000, 0, 0), BootUnixMS: bootMS,
 	})
+}
+
+// addTestWorker adds a worker that lists no runs.
+func addTestWorker(s *State, id string, bootMS int64) {
+	listTestWorker(s, id, bootMS)
 	s.Observe(Report{Worker: id, BootUnixMS: bootMS, PolledAt: s.now})
 }
 
@@ -216,6 +222,58 @@
 	}
 }
 
+// TestCutListOfEnds guards against a run that is taken as lost, so that its task runs again,
+// because its end did not fit into the list of a worker that has many ends to report.
+func TestCutListOfEnds(t *testing.T) {
+	t.Parallel()
+	const index = 1 // of the task whose end is not listed at first
+	own := func(t *testing.T) *State {
+		s := newState(t, nil)
+		s.AddJob(newJob(graph.Step{Count: 2, CPUMilli: 1000, EstimateMS: 1000}))
+		s.Decide(testNow)
+		for i := range 2 {
+			s.StartAnswered(taskID(0, i), 1, "w0", OutcomeStarted)
+		}
+		return s
+	}
+	takenOver := func(t *testing.T) *State {
+		s := recoverFrom(own(t))
+		listTestWorker(s, "w0", 1)
+		return s
+	}
+	tests := map[string]struct {
+		state  func(*testing.T) *State
+		more   bool
+		starts []graph.TaskID
+	}{
+		"complete list":                   {state: own, starts: []graph.TaskID{taskID(0, index)}},
+		"cut list":                        {state: own, more: true},
+		"cut list, run of a former owner": {state: takenOver, more: true},
+		"complete list, run of a former owner": {
+			state: takenOver, starts: []graph.TaskID{taskID(0, index)},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := tt.state(t)
+			at := testNow.Add(time.Second)
+			s.SetNow(at, 11_000)
+			end := func(seq int64, index int) RunEnd {
+				return RunEnd{Seq: seq, Task: taskID(0, index), Attempt: 1, Outcome: events.RunDone}
+			}
+			s.Observe(Report{Worker: "w0", BootUnixMS: 1, PolledAt: at, Ended: []RunEnd{end(1, 0)}, MoreEnds: tt.more})
+			if diff := cmp.Diff(tt.starts, startsOf(s.Decide(at))); diff != "" {
+				t.Errorf("starts after the first list (-want +got):\n%s", diff)
+			}
+			s.Observe(Report{Worker: "w0", BootUnixMS: 1, PolledAt: at, Ended: []RunEnd{end(2, index)}})
+			if got, _ := s.Job(testJob); got != JobDone {
+				t.Errorf("job is %q after the second list, want %q", got, JobDone)
+			}
+		})
+	}
+}
+
 // TestUnansweredStartGoesOn guards against giving up the run of a worker that was only slow to
 // answer, and against a task that is started again before it is certain that the first start
 // has no effect.
--- a/entry/sched/model_test.go
+++ b/entry/sched/model_test.go
@@ -16,7 +16,7 @@
 )
 
 // The model drives a State against simulated workers that behave like the platform's:
-// they check fencing tokens, enforce leases, list ends until they are acknowledged, lose
+// they check fencing tokens, enforce leases, list some ends until they are acknowledged, lose
 // replies and carry out orders late. It checks the invariants at each start.
 
 const (
@@ -25,6 +25,7 @@
 	modelWorkerCPU   = 32000
 	modelAccountCPU  = 80000
 	modelMaxAttempts = 2
+	modelListedEnds  = 3 // ends that a report lists at most
 )
 
 type modelRun struct {
@@ -332,7 +333,8 @@
 		r.expiresAt = max(r.expiresAt, m.now.Add(modelLease))
 		rep.Running = append(rep.Running, RunStatus{Task: r.task, Attempt: r.attempt, Percent: int(m.now/clock.Mono(modelTick)) % 100})
 	}
-	rep.Ended = append(rep.Ended, w.ended...)
+	rep.Ended = append(rep.Ended, w.ended[:min(len(w.ended), modelListedEnds)]...)
+	rep.MoreEnds = len(w.ended) >= modelListedEnds
 	if m.loseReply() {
 		return
 	}
--- a/entry/sched/probation_test.go
+++ b/entry/sched/probation_test.go
@@ -91,8 +91,16 @@
 	}
 }
 
-// restart returns the state of a new owner that has the journal and the jobs of s.
+// restart returns the state of a new owner that has the journal and the jobs of s, and has
+// read that nothing runs on w0.
 func restart(s *State) *State {
+	next := recoverFrom(s)
+	addTestWorker(next, "w0", 1)
+	return next
+}
+
+// recoverFrom returns the state of a new owner that has the journal and the jobs of s.
+func recoverFrom(s *State) *State {
 	next := New(s.cfg)
 	next.SetNow(s.now, 10_000)
 	next.SetRules(s.rules)
@@ -103,7 +111,6 @@
 	next.RestoreJobs(docs)
 	next.Replay(s.TakeEvents())
 	next.FinishRecovery(s.now)
-	addTestWorker(next, "w0", 1)
 	return next
 }
 
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -33,6 +33,9 @@
 	PolledAt clock.Mono
 	Running  []RunStatus
 	Ended    []RunEnd
+	// MoreEnds is whether the worker may have ended runs that it does not list yet. It lists
+	// them once those in Ended were acknowledged.
+	MoreEnds bool
 }
 
 // Observe applies a worker's report. It returns the sequence number of the last processed
@@ -72,6 +75,9 @@
 		listed[r] = true
 		s.updateRun(r, item)
 	}
+	if rep.MoreEnds {
+		return // a run that is not listed may have ended in any way
+	}
 	for _, r := range w.runs.copy() {
 		if !listed[r] && s.certainlyEnded(w, r, rep.PolledAt) {
 			s.endRun(r, events.RunLost, "")
@@ -79,7 +85,7 @@
 	}
 }
 
-// certainlyEnded reports whether a run that is missing from a worker's list has certainly
+// certainlyEnded reports whether a run that is missing from a worker's complete lists has certainly
 // ended or will never begin. That is so if the poll was sent after the run was confirmed,
 // after its accepted stop took effect or after its start deadline. It is also so for a
 // run of a former owner: the worker refuses that owner's orders once it has seen this
