End a worker's runs for another life of it only when its own reports show that life

Change: which life answers at the address is taken from the worker's reports (Observe) alone; a new entry has it polled at once, as before. Weighed: taking the higher start (clocks jump, and an odd entry with a start in the far future would shut the real worker out).

Test: sched TestEntryOfOtherIncarnation; "former life, read late" and "later life, not confirmed" fail without the change.

--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -222,6 +222,47 @@
 	}
 }
 
+// TestEntryOfOtherIncarnation guards against ending the runs of a worker because of an entry in
+// the platform's list that speaks of another life of it: one that is over and was read late, or
+// one that another writer made up. The tasks would run twice at the same time.
+func TestEntryOfOtherIncarnation(t *testing.T) {
+	t.Parallel()
+	const former, present, later = 1, 2, 3
+	tests := map[string]struct {
+		entry    int64 // start of the incarnation that the entry speaks of
+		reported int64 // start of the one that reports next, without any run
+		want     []graph.TaskID
+	}{
+		"former life, read late":    {entry: former},
+		"later life, not confirmed": {entry: later},
+		"unknown life":              {entry: 0},
+		"later life":                {entry: later, reported: later, want: []graph.TaskID{taskID(0, 0)}},
+		"later life, entry late":    {entry: present, reported: later, want: []graph.TaskID{taskID(0, 0)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newLargeState(t, 2)
+			addTestWorker(s, "w1", former)
+			s.WorkerUnresponsive("w1")
+			addTestWorker(s, "w0", present)
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 60_000}))
+			s.Decide(testNow)
+			s.StartAnswered(taskID(0, 0), 1, "w0", OutcomeStarted)
+			s.SetNow(testNow.Add(time.Second), 11_000)
+			s.Observe(Report{Worker: "w0", BootUnixMS: present, PolledAt: s.now, Running: []RunStatus{{Task: taskID(0, 0), Attempt: 1}}})
+			listTestWorker(s, "w0", tt.entry)
+			if tt.reported != 0 {
+				s.Observe(Report{Worker: "w0", BootUnixMS: tt.reported, PolledAt: s.now})
+			}
+			s.Observe(Report{Worker: "w1", BootUnixMS: former, PolledAt: s.now})
+			if diff := cmp.Diff(tt.want, startsOf(s.Decide(s.now))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestCutListOfEnds guards against a run that is taken as lost, so that its task runs again,
 // because its end did not fit into the list of a worker that has many ends to report.
 func TestCutListOfEnds(t *testing.T) {
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -76,7 +76,7 @@
 	// LeavesAt is the earliest time at which a draining worker exits; 0 is unknown.
 	LeavesAt clock.Mono
 	// BootUnixMS is when this incarnation of the worker started. It distinguishes
-	// incarnations with the same ID; 0 is unknown.
+	// incarnations with the same ID; 0 is unknown. The worker's reports go before it.
 	BootUnixMS int64
 }
 
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -9,16 +9,15 @@
 )
 
 // PutWorker adds or updates a worker on the platform's list. No task starts on a worker
-// before its list of runs was read for the first time.
+// before its list of runs was read for the first time. Which incarnation answers at the
+// worker's address is known from its own reports: entries of the list may be read late, or
+// be those of another writer.
 func (s *State) PutWorker(spec WorkerSpec) {
 	w := s.workers[spec.ID]
 	if w == nil {
 		w = s.addWorker(WorkerSpec{ID: spec.ID})
 	}
-	if w.spec.BootUnixMS != 0 && spec.BootUnixMS != 0 && w.spec.BootUnixMS != spec.BootUnixMS {
-		s.replaceIncarnation(w, spec.BootUnixMS)
-	}
-	if spec.BootUnixMS == 0 {
+	if w.spec.BootUnixMS != 0 {
 		spec.BootUnixMS = w.spec.BootUnixMS
 	}
 	w.spec, w.listed = spec, true
