Store the settings of its queue with each accepted job

A queue that the owner did not know yet, or that was removed before its term, counted as one without service and advice and with one attempt, for as long as the owner kept the job.

Change: the VM that accepts a job knows the queue and stores its settings with the job. They hold where the owner does not know the queue; where it does, its own are taken as before. Weighed: to let such jobs wait for the configuration (says nothing about queues that were removed, and a version number in the job would be needed to tell the two apart). Jobs stored by earlier builds have no settings and are treated as before; earlier builds ignore the field.

Tests: sched TestQueueUnknown (all four rows fail without the change), accept TestSettingsAreStored.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return rcode.BadRequest
 	}
-	job.ID, job.Team, job.Queue, job.AcceptedUnixMS = id, team, q.Name, s.clk.Wall().UnixMilli()
+	job.ID, job.Team, job.Queue, job.Settings, job.AcceptedUnixMS = id, team, q.Name, q, s.clk.Wall().UnixMilli()
 	if err := job.Check(); err != nil {
 		s.log.Info("job rejected", zap.String("id", id), zap.String("queue", q.Name), zap.String("error", err.Error()))
 		return rcode.BadRequest
--- a/entry/accept/accept_test.go
+++ b/entry/accept/accept_test.go
@@ -146,6 +146,29 @@
 	}
 }
 
+// TestSettingsAreStored guards against a job without the settings of its queue, which the owner may
+// not know.
+func TestSettingsAreStored(t *testing.T) {
+	t.Parallel()
+	const id = "00000000000000aa"
+	st := store.NewMemory()
+	svc, _ := newService(st, &fakePeers{codes: []rcode.Code{rcode.StoreUnavailable}, delivered: make(chan string, 8)})
+	svc.Submit(context.Background(), Call{Host: "h", Path: "/q/" + id, Key: "k"}, func(string) (*graph.Job, error) {
+		return &graph.Job{Steps: []graph.Step{{Count: 1}}}, nil
+	})
+	kv, err := st.Get(context.Background(), engine.JobPrefix+id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	job, err := graph.Decode(kv.Value())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(&rules.Queue{Service: "s"}, job.Settings); diff != "" {
+		t.Errorf("stored settings (-want +got):\n%s", diff)
+	}
+}
+
 // TestUnknownStaysUnknown guards against reporting "not accepted" after a write that
 // may have taken effect, even if all later attempts were refused.
 func TestUnknownStaysUnknown(t *testing.T) {
--- a/entry/graph/graph.go
+++ b/entry/graph/graph.go
@@ -19,6 +19,7 @@
 
 	"limpethitch.example/core/amount"
 	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/rules"
 )
 
 // Limits of an accepted job.
@@ -93,6 +94,10 @@
 	ID    string `json:"id"`
 	Team  string `json:"team"`
 	Queue string `json:"queue"`
+	// Settings are those of the queue at acceptance. They hold for an owner that does not
+	// know the queue: it has not heard of it yet, or the queue was removed since. Nil for a
+	// job that was accepted by an earlier version of the program.
+	Settings *rules.Queue `json:"settings,omitempty"`
 	// Spec is passed to each task unchanged.
 	Spec  string `json:"spec,omitempty"`
 	Steps []Step `json:"steps"`
--- a/entry/rules/rules.go
+++ b/entry/rules/rules.go
@@ -22,10 +22,12 @@
 // AdviceConfig describes the calls to the advising service for the steps of a queue's jobs.
 // The service decides which workers may run a step.
 type AdviceConfig struct {
-	// BaseMS is the duration of a call, PerWorkerMS the additional time per worker in it.
-	BaseMS, PerWorkerMS float64
+	// BaseMS is the duration of a call.
+	BaseMS float64 `json:"base"`
+	// PerWorkerMS is the additional time per worker in a call.
+	PerWorkerMS float64 `json:"worker"`
 	// ValidMS is how long a ticket is valid.
-	ValidMS int64
+	ValidMS int64 `json:"valid"`
 }
 
 // CostMS returns the duration of a call about a number of workers, in milliseconds.
@@ -33,23 +35,26 @@
 	return int64(a.BaseMS + a.PerWorkerMS*float64(workers))
 }
 
-// Queue accepts jobs for a host name and a path prefix.
+// Queue accepts jobs for a host name and a path prefix. What concerns its accepted jobs is
+// stored with each of them as JSON.
 type Queue struct {
-	Name, Host, Prefix string
+	Name   string `json:"-"`
+	Host   string `json:"-"`
+	Prefix string `json:"-"`
 	// Service names the workers that run the queue's tasks.
-	Service string
+	Service string `json:"service"`
 	// Priority orders the queues; 0 is the highest.
-	Priority int
+	Priority int `json:"priority,omitempty"`
 	// MaxAttempts is the number of failed runs of one task after which its job fails.
-	MaxAttempts int
+	MaxAttempts int `json:"attempts"`
 	// StretchFactor and TargetMS define the objective of a job's duration: StretchFactor
 	// times the run time of its critical path, plus TargetMS.
-	StretchFactor float64
-	TargetMS      int64
+	StretchFactor float64 `json:"stretch"`
+	TargetMS      int64   `json:"target,omitempty"`
 	// Public queues accept jobs without an API key.
-	Public bool
+	Public bool `json:"-"`
 	// Advice is nil if every worker may run every step of the queue's jobs.
-	Advice *AdviceConfig
+	Advice *AdviceConfig `json:"advice,omitempty"`
 }
 
 // Team is a client account.
--- a/entry/sched/jobs.go
+++ b/entry/sched/jobs.go
@@ -67,9 +67,14 @@
 }
 
 // setQueue copies the queue's settings, so that the job can finish after its queue is
-// removed.
+// removed. The owner may learn of a new queue later than of its first jobs, and a new owner
+// does not know the queues that were removed: the settings at acceptance hold then.
 func (s *State) setQueue(j *job) {
-	j.queue = rules.Queue{Name: j.doc.Queue, MaxAttempts: 1, StretchFactor: 1}
+	j.queue = rules.Queue{MaxAttempts: 1, StretchFactor: 1}
+	if j.doc.Settings != nil {
+		j.queue = *j.doc.Settings
+	}
+	j.queue.Name = j.doc.Queue
 	if s.rules != nil {
 		if q, ok := s.rules.Queue(j.doc.Queue); ok {
 			j.queue = *q
--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -222,6 +222,70 @@
 	}
 }
 
+// TestQueueUnknown guards against a job that is never started, runs on workers of another service
+// or has fewer attempts, because it reaches the owner before its queue does, or because its queue
+// was removed before the owner's term.
+func TestQueueUnknown(t *testing.T) {
+	t.Parallel()
+	const service = "other"
+	type result struct {
+		Starts map[string]int // by worker
+		Advice int            // requests
+	}
+	tests := map[string]struct {
+		settings *rules.Queue
+		failed   bool // whether the first run fails
+		want     result
+	}{
+		"another service": {settings: &rules.Queue{Service: service, MaxAttempts: 1}, want: result{Starts: map[string]int{"w1": 1}}},
+		"with advice": {
+			settings: &rules.Queue{Service: service, MaxAttempts: 1, Advice: &rules.AdviceConfig{BaseMS: 1, ValidMS: 1000}},
+			want:     result{Starts: map[string]int{}, Advice: 1},
+		},
+		"two attempts": {settings: &rules.Queue{Service: service, MaxAttempts: 2}, failed: true, want: result{Starts: map[string]int{"w1": 2}}},
+		"one attempt":  {settings: &rules.Queue{Service: service, MaxAttempts: 1}, failed: true, want: result{Starts: map[string]int{"w1": 1}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.PutWorker(WorkerSpec{ID: "w1", Addr: "w1", DataCentre: "dc", Service: service, Capacity: amount.New(32000, 64000, 0, 0), BootUnixMS: 1})
+			s.Observe(Report{Worker: "w1", BootUnixMS: 1, PolledAt: s.now})
+			job := newJobInQueue(1, "new", graph.Step{Count: 1, CPUMilli: 1000})
+			job.Settings = tt.settings
+			raw, err := job.Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if job, err = graph.Decode(raw); err != nil { // as the owner reads it
+				t.Fatal(err)
+			}
+			s.AddJob(job)
+			got := result{Starts: make(map[string]int)}
+			for i := range 2 {
+				for _, d := range s.Decide(testNow.Add(time.Duration(i) * time.Second)) {
+					switch d := d.(type) {
+					case Start:
+						got.Starts[d.Worker]++
+						if tt.failed {
+							w := s.workers[d.Worker]
+							s.Observe(Report{Worker: d.Worker, BootUnixMS: 1, PolledAt: s.now, Ended: []RunEnd{
+								{Seq: w.lastSeenSeq + 1, Task: d.Task, Attempt: d.Attempt, Outcome: events.RunFailed},
+							}})
+						}
+					case RequestAdvice:
+						got.Advice++
+					case Stop, Throttle:
+					}
+				}
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("starts and requests for advice (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestEntryOfOtherIncarnation guards against ending the runs of a worker because of an entry in
 // the platform's list that speaks of another life of it: one that is over and was read late, or
 // one that another writer made up. The tasks would run twice at the same time.
