Follow the VM list of the product's own stand-ins past an odd entry

Cause: a VM that is missing from a list counts as ended, which the refusal protected against. Change: the entry is left out and logged, and its VM is kept from the list before; if its id cannot be read, every VM that is missing is kept. The other entries are followed.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sort"
 	"strconv"
 	"time"
@@ -90,7 +91,12 @@
 func (v VM) Connections() int { return v.connections }
 
 // List is the platform's list of VMs at the time it was read.
-type List struct{ vms []VM }
+type List struct {
+	vms []VM
+	// unreadable holds the ids of the entries that describe no VM, each empty if it cannot be
+	// read either.
+	unreadable []string
+}
 
 // NewList returns a list of the given VMs.
 func NewList(vms ...VM) List { return List{vms: vms} }
@@ -120,28 +126,61 @@
 // Len returns the number of VMs.
 func (l List) Len() int { return len(l.vms) }
 
+// Unreadable returns the ids of the entries that describe no VM, each empty if it cannot be read
+// either.
+func (l List) Unreadable() []string { return l.unreadable }
+
+// Since returns the list that holds after an earlier one. An unreadable entry does not show
+// that its VM has ended: the list keeps the VM from the earlier one, and all VMs that it does not
+// have itself if it is not known whose entry is unreadable.
+func (l List) Since(earlier List) List {
+	if len(l.unreadable) == 0 {
+		return l
+	}
+	anyone := slices.Contains(l.unreadable, "")
+	out := List{vms: slices.Clone(l.vms), unreadable: l.unreadable}
+	for _, v := range earlier.vms {
+		if _, ok := l.Find(v.id); !ok && (anyone || slices.Contains(l.unreadable, v.id)) {
+			out.vms = append(out.vms, v)
+		}
+	}
+	return out
+}
+
 // Group is an element of the http_sd document.
 type Group struct {
 	Targets []string          `json:"targets"`
 	Labels  map[string]string `json:"labels"`
 }
 
-// Parse decodes an http_sd document. It returns an error if any group is invalid,
-// since VMs missing from a partly read list would look as if they had ended.
+// Parse decodes an http_sd document. It returns an error for one that is no list as a whole. A
+// group that describes no VM is noted as unreadable and does not keep the others from being
+// used.
 func Parse(doc []byte) (List, error) {
-	var groups []Group
-	if err := json.Unmarshal(doc, &groups); err != nil {
+	var raw []json.RawMessage
+	if err := json.Unmarshal(doc, &raw); err != nil {
 		return List{}, rcode.Wrap(err, rcode.BadRequest, "fleet.Parse")
 	}
-	vms := make([]VM, 0, len(groups))
-	for i, g := range groups {
-		v, err := g.vm()
+	list := List{vms: make([]VM, 0, len(raw))}
+	for _, r := range raw {
+		var g Group
+		v, err := VM{}, json.Unmarshal(r, &g)
+		if err == nil {
+			v, err = g.vm()
+		}
 		if err != nil {
-			return List{}, rcode.Wrap(err, rcode.BadRequest, "fleet.Parse: group %d", i)
+			list.unreadable = append(list.unreadable, g.Labels["id"])
+			continue
 		}
-		vms = append(vms, v)
+		list.vms = append(list.vms, v)
 	}
-	return List{vms: vms}, nil
+	return list, nil
+}
+
+// Check returns an error if the group describes no VM.
+func (g Group) Check() error {
+	_, err := g.vm()
+	return rcode.Wrap(err, rcode.BadRequest, "fleet.Group")
 }
 
 // vm returns the VM that a group describes.
--- a/entry/serve/fleet.go
+++ b/entry/serve/fleet.go
@@ -36,6 +36,9 @@
 		if err != nil {
 			v.log.Warn("cannot read the VM list", logs.Err(err)...)
 		} else {
+			if ids := list.Unreadable(); len(ids) > 0 {
+				v.log.Warn("the VM list has unreadable entries", zap.Strings("ids", ids))
+			}
 			v.setFleet(list)
 		}
 		for _, s := range v.ownedShards() {
@@ -52,6 +55,9 @@
 }
 
 func (v *VM) setFleet(list fleet.List) {
+	v.mu.Lock()
+	list = list.Since(v.fleetList)
+	v.mu.Unlock()
 	entries := list.WithRole(fleet.RoleEntry)
 	v.members.SetListed(entries)
 	v.mu.Lock()
--- a/stand/vmlist/vmlist.go
+++ b/stand/vmlist/vmlist.go
@@ -12,7 +12,6 @@
 package vmlist
 
 import (
-	"encoding/json"
 	"maps"
 	"slices"
 	"strings"
@@ -120,7 +119,7 @@
 		g.Labels = map[string]string{}
 	}
 	g.Labels["id"] = id
-	if err := validate(g); err != nil {
+	if err := g.Check(); err != nil {
 		httpd.Refuse(ctx, fasthttp.StatusBadRequest, err.Error())
 		return
 	}
@@ -129,15 +128,6 @@
 	ctx.SetStatusCode(fasthttp.StatusNoContent)
 }
 
-func validate(g fleet.Group) error {
-	doc, err := json.Marshal([]fleet.Group{g})
-	if err != nil {
-		return err
-	}
-	_, err = fleet.Parse(doc)
-	return err
-}
-
 func (s *Server) remove(ctx *fasthttp.RequestCtx, id string) {
 	if _, ok := s.current[id]; !ok {
 		httpd.Refuse(ctx, fasthttp.StatusNotFound, "no such VM")
