--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -110,11 +110,16 @@
 	mu      sync.Mutex
 	closed  bool
 	refused chan struct{}
+	// maxValue is the size of the largest value that the store accepts; 0 is no limit.
+	maxValue int
 }
 
 func (g *gatedStore) Commit(ctx context.Context, t *store.Txn) (store.Result, error) {
 	g.mu.Lock()
 	closed := g.closed
+	for _, op := range t.Ops() {
+		closed = closed || g.maxValue > 0 && len(op.Value()) > g.maxValue
+	}
 	g.mu.Unlock()
 	if closed && len(t.Ops()) > 0 && len(t.Ops()[0].Key()) > 4 && t.Ops()[0].Key()[:4] == events.Prefix {
 		select {
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -89,10 +89,13 @@
 		return
 	}
 	t.writing = true
+	parts := events.Split(list)
 	go func() {
-		var key string
+		keys := make([]string, len(parts))
 		err := e.guarded("journal", func() (err error) {
-			key, err = t.writer.Append(t.ctx, list)
+			for i := 0; i < len(parts) && err == nil; i++ {
+				keys[i], err = t.writer.Append(t.ctx, parts[i])
+			}
 			return err
 		})
 		e.post(func() {
@@ -107,7 +110,9 @@
 				}
 				return
 			}
-			t.compactor.addSegment(key, list, t.state.Compacted)
+			for i, part := range parts {
+				t.compactor.addSegment(keys[i], part, t.state.Compacted)
+			}
 			e.handleRoundStored(t, round, starts)
 		})
 	}()
--- a/entry/engine/round_test.go
+++ b/entry/engine/round_test.go
@@ -49,3 +49,27 @@
 		t.Error("no decision once the configuration was read again")
 	}
 }
+
+// TestLargeRound guards against a round with more events than one value of the store holds: the
+// store refuses it each time that it is sent, and nothing is started any more.
+func TestLargeRound(t *testing.T) {
+	t.Parallel()
+	const tasks, valueBytes = 5000, 1 << 18
+	h := newHarness(t)
+	h.store.mu.Lock()
+	h.store.maxValue = valueBytes
+	h.store.mu.Unlock()
+	go func() {
+		for range h.worker.started {
+		}
+	}()
+	job := graph.Job{ID: testJob, Team: "a", Queue: "q", Steps: []graph.Step{{Count: tasks, EstimateMS: 100}}}
+	raw, err := job.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := h.store.Commit(h.ctx, store.NewTxn().If(JobPrefix+job.ID, 0).Put(JobPrefix+job.ID, raw)); err != nil {
+		t.Fatal(err)
+	}
+	h.waitForStatus(t, func(s JobStatus) bool { return s.State == sched.JobDone })
+}
--- a/entry/events/events.go
+++ b/entry/events/events.go
@@ -138,6 +138,41 @@
 	return e.Task
 }
 
+const (
+	// maxSegmentBytes bounds a segment by the sizes of its events. The store accepts values of
+	// 1 MiB, and one of a tenth of that is written in a few milliseconds.
+	maxSegmentBytes = 128 << 10
+	// eventOverhead is the size of an event without its texts, in bytes, textOverhead that of a
+	// text in a list.
+	eventOverhead = 96
+	textOverhead  = 3
+)
+
+// size returns about how many bytes the event takes in a segment.
+func (e *Event) size() int {
+	n := eventOverhead + len(e.Task) + len(e.Worker) + len(e.Checkpoint)
+	for _, id := range e.Allowed {
+		n += textOverhead + len(id)
+	}
+	return n
+}
+
+// Split divides events into the parts that make up a segment each, in order. A new owner may
+// find the first parts only, which describe an earlier moment of the same round.
+func Split(list []Event) [][]Event {
+	var parts [][]Event
+	first, bytes := 0, 0
+	for i := range list {
+		n := list[i].size()
+		if i > first && bytes+n > maxSegmentBytes {
+			parts = append(parts, list[first:i])
+			first, bytes = i, 0
+		}
+		bytes += n
+	}
+	return append(parts, list[first:])
+}
+
 // Encode encodes the events of a segment as JSON.
 func Encode(list []Event) ([]byte, error) {
 	raw, err := json.Marshal(list)
--- a/entry/events/events_test.go
+++ b/entry/events/events_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,3 +86,52 @@
 		})
 	}
 }
+
+// TestSplit guards against segments that the store refuses for their size, and against events that
+// are left out, repeated or reordered between segments.
+func TestSplit(t *testing.T) {
+	t.Parallel()
+	const valueBytes = 1 << 20 // that the store accepts
+	task := graph.TaskID{Job: "00000000000000aa"}
+	many := func(n int, e Event) []Event {
+		list := make([]Event, n)
+		for i := range list {
+			list[i] = e
+			list[i].Attempt = i + 1
+		}
+		return list
+	}
+	tests := map[string]struct {
+		list  []Event
+		parts int
+	}{
+		"none":       {parts: 1},
+		"few":        {list: many(100, Start(task, 1, "i-0123456789", 1)), parts: 1},
+		"many":       {list: many(20_000, Start(task, 1, "i-0123456789", 1_764_000_000_000)), parts: 20},
+		"much":       {list: many(3, End(task, 1, RunStopped, strings.Repeat("c", maxSegmentBytes))), parts: 3},
+		"long lists": {list: many(1000, Advice(task, slices.Repeat([]string{"i-0123456789"}, 100))), parts: 13},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			parts := Split(tt.list)
+			if diff := cmp.Diff(tt.parts, len(parts)); diff != "" {
+				t.Errorf("segments (-want +got):\n%s", diff)
+			}
+			var all []Event
+			for _, p := range parts {
+				raw, err := Encode(p)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if len(raw) > valueBytes {
+					t.Errorf("a segment has %d bytes", len(raw))
+				}
+				all = append(all, p...)
+			}
+			if diff := cmp.Diff(tt.list, all); diff != "" {
+				t.Errorf("events (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
