Start nothing on a worker whose entry shows another life until it has reported

Change: such an entry makes the worker's runs unknown until its next report, as a new worker's. Test: sched TestNoStartBeforeReport; the row "later life" fails without the change.

--- a/entry/sched/jobs_test.go
+++ b/entry/sched/jobs_test.go
@@ -327,6 +327,37 @@
 	}
 }
 
+// TestNoStartBeforeReport guards against a start for a worker's former life after its entry has
+// shown a later one: the order's lease would be on the former life's clock.
+func TestNoStartBeforeReport(t *testing.T) {
+	t.Parallel()
+	const present, later = 2, 3
+	tests := map[string]struct {
+		entry    int64 // start of the incarnation that the entry speaks of
+		reported bool  // whether it reports then
+		want     []graph.TaskID
+	}{
+		"same life":                {entry: present, want: []graph.TaskID{taskID(0, 0)}},
+		"later life":               {entry: later},
+		"later life, has reported": {entry: later, reported: true, want: []graph.TaskID{taskID(0, 0)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			addTestWorker(s, "w0", present)
+			listTestWorker(s, "w0", tt.entry)
+			if tt.reported {
+				s.Observe(Report{Worker: "w0", BootUnixMS: tt.entry, PolledAt: s.now})
+			}
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000}))
+			if diff := cmp.Diff(tt.want, startsOf(s.Decide(testNow))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestCutListOfEnds guards against a run that is taken as lost, so that its task runs again,
 // because its end did not fit into the list of a worker that has many ends to report.
 func TestCutListOfEnds(t *testing.T) {
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -18,6 +18,9 @@
 		w = s.addWorker(WorkerSpec{ID: spec.ID})
 	}
 	if w.spec.BootUnixMS != 0 {
+		if spec.BootUnixMS != 0 && spec.BootUnixMS != w.spec.BootUnixMS {
+			w.runsKnown = false // until the worker's next report says which life it is in
+		}
 		spec.BootUnixMS = w.spec.BootUnixMS
 	}
 	w.spec, w.listed = spec, true
