--- a/entry/events/events.go
+++ b/entry/events/events.go
@@ -139,8 +139,8 @@
 }
 
 const (
-	// maxSegmentBytes bounds a segment by the sizes of its events. The store accepts values of
-	// 1 MiB, and one of a tenth of that is written in a few milliseconds.
+	// maxSegmentBytes bounds a segment by the estimated sizes of its events. It is far below
+	// the store's largest value, since texts may grow when they are encoded.
 	maxSegmentBytes = 128 << 10
 	// eventOverhead is the size of an event without its texts, in bytes, textOverhead that of a
 	// text in a list.
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -262,16 +262,18 @@
 	return int(max(0, free) / size)
 }
 
-// fit is a worker and the number of tasks of a step that fit on it. Lower costs come
-// first, after them the workers that a gang would try on probation.
+// fit is a worker and the number of tasks of a step that fit on it.
 type fit struct {
 	worker *worker
 	count  int
 	cost   float64
-	trial  bool
+	// trial is whether the worker is on probation and the step a gang, which tries it only if
+	// the other workers do not suffice.
+	trial bool
 }
 
-// compare orders fits.
+// compare orders workers before those that a gang would try on probation, and lower costs
+// first.
 func (f fit) compare(o fit) int {
 	switch {
 	case f.trial == o.trial:
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -85,8 +85,8 @@
 	}
 }
 
-// certainlyEnded reports whether a run that is missing from a worker's complete lists has certainly
-// ended or will never begin. That is so if the poll was sent after the run was confirmed,
+// certainlyEnded reports whether a run that is missing from a worker's complete lists has
+// certainly ended or will never begin. That is so if the poll was sent after the run was confirmed,
 // after its accepted stop took effect or after its start deadline. It is also so for a
 // run of a former owner: the worker refuses that owner's orders once it has seen this
 // owner's fencing token.
