Log and count workers that restart under their id

A worker that starts again under its id has a new clock, and orders with a time on the former clock may still reach it. The line "worker restarted" has both clocks, the last expiry that was sent on the former one, the runs that the new life lists and the starts there without an answer. Counter worker_restarts_total. Nothing is logged for the first reply in a term, or without a boot time.

--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -74,6 +74,14 @@
 	return c.clockMS + now.Sub(c.clockAt).Milliseconds()
 }
 
+// estimatedClock is workerClock for log lines; it returns 0 if the worker's clock is unknown.
+func (c *workerConn) estimatedClock(now clock.Mono) int64 {
+	if c.clockMS == 0 {
+		return 0
+	}
+	return c.workerClock(now)
+}
+
 // replySlack returns how much longer than its wait the next poll may take.
 func (c *workerConn) replySlack(loss replyLoss) time.Duration {
 	switch {
@@ -223,6 +231,9 @@
 	if c.failures > 0 {
 		e.log.Info("worker responds again", zap.String("worker", c.id), zap.Int("failures", c.failures))
 	}
+	if c.bootUnixMS != 0 && reply.BootUnixMS != 0 && reply.BootUnixMS != c.bootUnixMS {
+		e.reportRestart(t, c, reply, now)
+	}
 	clockKnown := c.clockMS != 0
 	c.failures, c.clockMS, c.clockAt = 0, reply.ClockMS, now
 	if reply.BootUnixMS != c.bootUnixMS {
@@ -243,6 +254,15 @@
 	}
 }
 
+// reportRestart logs and counts a reply of another incarnation, before the connection's state of
+// the former one is replaced.
+func (e *Engine) reportRestart(t *term, c *workerConn, reply PollReply, now clock.Mono) {
+	e.cfg.Metrics.CountWorkerRestart()
+	e.log.Info("worker restarted", zap.String("worker", c.id), zap.Int64("former_boot_ms", c.bootUnixMS), zap.Int64("boot_ms", reply.BootUnixMS),
+		zap.Int64("clock_ms", reply.ClockMS), zap.Int64("former_clock_ms", c.estimatedClock(now)), zap.Int64("sent_expiry_ms", c.leaseExpiresMS),
+		zap.Int("failures", c.failures), zap.Int("running", len(reply.Running)), zap.Int("unconfirmed", t.state.UnconfirmedRuns(c.id)))
+}
+
 // handlePollFailure records a failed poll. After the second failure in a row the
 // scheduler takes the worker as unresponsive.
 func (e *Engine) handlePollFailure(t *term, c *workerConn, err error) {
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -145,3 +145,19 @@
 
 // HasWorker reports whether a worker is listed or may still have runs.
 func (s *State) HasWorker(id string) bool { return s.workers[id] != nil }
+
+// UnconfirmedRuns returns the number of a worker's runs that it neither accepted nor listed under
+// this owner.
+func (s *State) UnconfirmedRuns(id string) int {
+	w := s.workers[id]
+	if w == nil {
+		return 0
+	}
+	n := 0
+	for _, r := range w.runs {
+		if !r.confirmed {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/stats/stats.go
+++ b/entry/stats/stats.go
@@ -60,6 +60,7 @@
 	lostWork   *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
 	retryAfter *prometheus.GaugeVec
+	restarts   prometheus.Counter
 }
 
 // New returns metrics with their own registry. droppedLines returns the number of log
@@ -72,6 +73,9 @@
 	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help}, labels)
 	}
+	total := func(name, help string) prometheus.Counter {
+		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help})
+	}
 	gauge := func(name, help string) prometheus.Gauge {
 		return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help})
 	}
@@ -106,13 +110,14 @@
 			Namespace: namespace, Name: "retry_after_seconds",
 			Help: "Time after which the caller that was refused last may return, by the reason of the refusal.",
 		}, []string{"reason"}),
+		restarts: total("worker_restarts_total", "Workers that answered the owner as another incarnation under the same id."),
 	}
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_left_out_total",
 		Help: "Log lines dropped because the buffer was full or the rate limit was exceeded.",
 	}, func() float64 { return float64(droppedLines()) })
 	m.registry.MustRegister(m.calls, m.results, m.firstStart, m.jobs, m.events, m.advice, m.starts, m.panics,
-		m.refused, m.owner, m.runs, m.waiting, m.leaseHeld, m.useShare, m.useWeight, m.useLevel, m.slow, m.cutShort, m.lostWork, m.refusals, m.retryAfter, dropped,
+		m.refused, m.owner, m.runs, m.waiting, m.leaseHeld, m.useShare, m.useWeight, m.useLevel, m.slow, m.cutShort, m.lostWork, m.refusals, m.retryAfter, m.restarts, dropped,
 		collectors.NewGoCollector())
 	return m
 }
@@ -230,6 +235,9 @@
 	m.lostWork.WithLabelValues(queue, reason).Add(max(0, lostCoreSeconds))
 }
 
+// CountWorkerRestart counts a worker that answered as another incarnation.
+func (m *Metrics) CountWorkerRestart() { m.restarts.Inc() }
+
 // CountStart counts a start order by its outcome.
 func (m *Metrics) CountStart(outcome string) { m.starts.WithLabelValues(outcome).Inc() }
 
