Log the workers whose leases the scheduler takes as ended

The line "leases over" has the runs that were given up on a worker, how many of them it never confirmed, how long it was silent, when the last order that extends its lease was sent, and the last expiry sent beside the owner's estimate of the worker's clock. The scheduler collects the records, as for other ends.

Run: go test -race -count=20 -run 'LeaseEnds|LeasesOver|Restarted' ./entry/sched ./entry/engine passes; TestLeaseEnds and TestLeasesOverLine fail without recordLeaseEnd, reportLeaseEnds or either place that sets leaseExtendedAt.

--- a/entry/engine/restart_test.go
+++ b/entry/engine/restart_test.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"context"
 	"errors"
 	"testing"
 	"time"
@@ -12,14 +13,27 @@
 
 	"limpethitch.example/core/amount"
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/store"
 	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/rules"
 	"limpethitch.example/entry/sched"
 	"limpethitch.example/entry/stats"
 )
 
+// silentWorkers are workers that answer nothing.
+type silentWorkers struct{ Workers }
+
+func (silentWorkers) Start(context.Context, StartOrder) (sched.StartOutcome, error) {
+	return sched.OutcomeUnknown, errors.New("no answer")
+}
+
+func (silentWorkers) Poll(context.Context, PollOrder) (PollReply, error) {
+	return PollReply{}, errors.New("no answer")
+}
+
 // restartTerm is a term on a fake clock with a job of one task and one worker, w0. The test takes
-// the place of the loop and of the worker; no order is sent.
+// the place of the loop and gives the worker's answers; those to sent orders are not handled.
 type restartTerm struct {
 	t       *testing.T
 	engine  *Engine
@@ -35,13 +49,19 @@
 	core, logs := observer.New(zap.InfoLevel)
 	r := &restartTerm{t: t, clk: clock.NewFake(time.Unix(1000, 0)), logs: logs, metrics: stats.New(func() int64 { return 0 })}
 	r.clk.Advance(time.Minute)
-	r.engine = New(Config{Metrics: r.metrics, Lease: 7 * time.Second}, r.clk, zap.New(core))
+	self := lead.Holder{VM: "vm0", Name: "vm0-a", Addr: "a0"}
+	elector := lead.New(lead.Config{Store: store.NewMemory(), Self: self}, r.clk, zap.NewNop())
+	go func() { _ = elector.Run(t.Context()) }()
+	for _, ok := elector.Authority(); !ok; _, ok = elector.Authority() {
+		<-elector.Changed()
+	}
+	r.engine = New(Config{Self: self, Elector: elector, Workers: silentWorkers{}, Metrics: r.metrics, Lease: 7 * time.Second}, r.clk, zap.New(core))
 	state := sched.New(sched.Config{StartTTL: maxStartDelay, ReserveAdviser: func(int64) (string, bool) { return "", false }})
 	state.SetNow(r.clk.Now(), 0)
 	state.SetRules(rules.New(1, []rules.Queue{{Name: "q", Service: "svc"}}, nil, rules.Limits{}))
 	state.PutWorker(sched.WorkerSpec{ID: "w0", Service: "svc", Capacity: amount.New(1000, 1000, 0, 0), BootUnixMS: 1})
 	state.AddJob(&graph.Job{ID: testJob, Queue: "q", Steps: []graph.Step{{Count: 1, CPUMilli: 100, EstimateMS: 60_000}}})
-	r.conn = &workerConn{id: "w0", listed: true}
+	r.conn = &workerConn{id: "w0", addr: "w0", listed: true}
 	r.term = &term{ctx: t.Context(), cancel: func() {}, state: state, workers: map[string]*workerConn{"w0": r.conn}}
 	r.engine.term = r.term
 	return r
@@ -52,18 +72,22 @@
 	r.engine.handlePollReply(r.term, r.conn, r.clk.Now(), reply, nil)
 }
 
-// start decides to start the task on w0.
+// start sends a start of the task to w0.
 func (r *restartTerm) start() {
 	r.t.Helper()
-	starts := 0
-	for _, d := range r.term.state.Decide(r.clk.Now()) {
-		if _, ok := d.(sched.Start); ok {
-			starts++
-		}
-	}
-	if starts != 1 {
-		r.t.Fatalf("%d starts, want 1", starts)
+	r.term.decidedAt = r.clk.Now()
+	starts := r.engine.dispatch(r.term, r.term.state.Decide(r.clk.Now()), nil)
+	if len(starts) != 1 {
+		r.t.Fatalf("%d starts, want 1", len(starts))
 	}
+	r.engine.sendStart(r.term, starts[0])
+}
+
+// poll sends a poll to w0.
+func (r *restartTerm) poll() {
+	r.term.ready = true
+	r.engine.poll(r.term, r.conn)
+	r.term.ready, r.conn.polling = false, false
 }
 
 // fail handles n polls without an answer.
@@ -121,7 +145,7 @@
 			do: func(r *restartTerm) {
 				r.reply(first)
 				r.start()
-				r.conn.leaseExpiresMS = 57_000
+				r.poll()
 				r.clk.Advance(2 * time.Second)
 				r.fail(3)
 				r.reply(PollReply{ClockMS: 400, BootUnixMS: 9, Running: []sched.RunStatus{{Task: graph.TaskID{Job: testJob}, Attempt: 1}}})
@@ -157,3 +181,65 @@
 		})
 	}
 }
+
+// TestLeasesOverLine guards against runs that are given up without a line that says what was last
+// sent to their worker, by which a lease that was counted too short is found.
+func TestLeasesOverLine(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		do   func(*restartTerm)
+		want map[string]any
+	}{
+		"extended by a poll": {
+			do: func(r *restartTerm) {
+				r.start()
+				r.clk.Advance(time.Second)
+				r.poll()
+				r.clk.Advance(2 * time.Second)
+				r.term.state.SetNow(r.clk.Now(), 0)
+				r.fail(2)
+			},
+			want: map[string]any{
+				"worker": "w0", "boot_ms": int64(1), "runs": int64(1), "unconfirmed": int64(1), "silent_ms": int64(8000),
+				"extended_ms": int64(10_000), "clock_ms": int64(61_000), "sent_expiry_ms": int64(58_000),
+			},
+		},
+		"extended by a start": {
+			do: func(r *restartTerm) {
+				r.poll()
+				r.clk.Advance(time.Second)
+				r.start()
+				r.fail(2)
+			},
+			want: map[string]any{
+				"worker": "w0", "boot_ms": int64(1), "runs": int64(1), "unconfirmed": int64(1), "silent_ms": int64(8000),
+				"extended_ms": int64(8000), "clock_ms": int64(59_000), "sent_expiry_ms": int64(57_000),
+			},
+		},
+		"delisted and unknown": {
+			do: func(r *restartTerm) {
+				r.start()
+				r.term.state.DelistWorker("w0")
+				delete(r.term.workers, "w0")
+			},
+			want: map[string]any{
+				"worker": "w0", "boot_ms": int64(1), "runs": int64(1), "unconfirmed": int64(1), "silent_ms": int64(-1),
+				"extended_ms": int64(-1), "clock_ms": int64(0), "sent_expiry_ms": int64(0),
+			},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRestartTerm(t)
+			r.reply(PollReply{ClockMS: 50_000, BootUnixMS: 1})
+			tt.do(r)
+			r.clk.Advance(8 * time.Second)
+			r.term.state.Decide(r.clk.Now())
+			r.engine.storeRound(r.term, nil, nil)
+			if diff := cmp.Diff([]map[string]any{tt.want}, r.lines("leases over")); diff != "" {
+				t.Errorf("lines (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -109,6 +109,7 @@
 	for _, c := range t.state.TakeCutShort() {
 		e.cfg.Metrics.CountCutShort(c.Queue, string(c.Reason), c.LostCoreSeconds)
 	}
+	e.reportLeaseEnds(t)
 	if len(list) == 0 {
 		e.handleRoundStored(t, round, starts)
 		return
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -23,9 +23,12 @@
 	clockAt clock.Mono
 	// leaseExpiresMS is the latest lease expiry sent, on the worker's clock.
 	leaseExpiresMS int64
-	polling        bool // a poll is in flight
-	pollEndedAt    clock.Mono
-	failures       int // failed polls in a row
+	// leaseExtendedAt is when the last order that extends the lease was sent; 0 is none in this
+	// term.
+	leaseExtendedAt clock.Mono
+	polling         bool // a poll is in flight
+	pollEndedAt     clock.Mono
+	failures        int // failed polls in a row
 	// ackedEnd is the number of the last ended run that polls acknowledge. ackableEnd is
 	// the last one reported; it may be acknowledged once round ackableRound is stored.
 	ackedEnd, ackableEnd int64
@@ -163,6 +166,7 @@
 		}
 		if c.failures == 0 && !held {
 			c.leaseExpiresMS = max(c.leaseExpiresMS, c.workerClock(now)+e.cfg.Lease.Milliseconds())
+			c.leaseExtendedAt = now
 			t.state.LeaseExtended(c.id, now.Add(e.maxLeaseOnWorker()))
 		}
 		order.ExpiresMS = c.leaseExpiresMS
@@ -263,6 +267,30 @@
 		zap.Int("failures", c.failures), zap.Int("running", len(reply.Running)), zap.Int("unconfirmed", t.state.UnconfirmedRuns(c.id)))
 }
 
+// reportLeaseEnds logs the workers whose leases the scheduler took as ended, with what was last
+// sent to them.
+func (e *Engine) reportLeaseEnds(t *term) {
+	now := e.clk.Now()
+	for _, end := range t.state.TakeLeaseEnds() {
+		c := t.workers[end.Worker]
+		if c == nil {
+			c = &workerConn{} // of a former owner's run, on a worker that is not listed
+		}
+		e.log.Info("leases over", zap.String("worker", end.Worker), zap.Int64("boot_ms", end.BootUnixMS), zap.Int("runs", end.Runs),
+			zap.Int("unconfirmed", end.Unconfirmed), zap.Int64("silent_ms", millisSince(end.SilentSince, now)),
+			zap.Int64("extended_ms", millisSince(c.leaseExtendedAt, now)), zap.Int64("clock_ms", c.estimatedClock(now)),
+			zap.Int64("sent_expiry_ms", c.leaseExpiresMS))
+	}
+}
+
+// millisSince returns the time from at to now in milliseconds, or -1 if at is 0.
+func millisSince(at, now clock.Mono) int64 {
+	if at == 0 {
+		return -1
+	}
+	return now.Sub(at).Milliseconds()
+}
+
 // handlePollFailure records a failed poll. After the second failure in a row the
 // scheduler takes the worker as unresponsive.
 func (e *Engine) handlePollFailure(t *term, c *workerConn, err error) {
@@ -298,6 +326,7 @@
 		Addr: c.addr, Instance: c.id, Task: st.Task.String(), Attempt: st.Attempt, Spec: st.Spec, Checkpoint: st.Checkpoint,
 		Ticket: st.Ticket, Token: t.Token(), ExpiresMS: c.workerClock(now) + left.Milliseconds(),
 	}
+	c.leaseExtendedAt = now
 	t.state.LeaseExtended(c.id, now.Add(e.maxLeaseOnWorker()))
 	go func() {
 		outcome := e.tryStart(t, order)
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -332,6 +332,7 @@
 	finished    []FinishedJob
 	compactable []*job // finished jobs that are not compacted yet
 	cutShort    []CutShort
+	leaseEnds   []LeaseEnd
 	// preempted counts the runs that ended because they were stopped for a gang,
 	// lostCoreSeconds is the work of all runs that were cut short.
 	preempted       int
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -115,11 +115,14 @@
 		if !w.unresponsive && w.listed || len(w.runs) == 0 || w.leaseExpiry == 0 || s.now < w.leaseExpiry {
 			continue
 		}
+		var givenUp runSet
 		for _, r := range w.runs.copy() {
 			if s.now >= r.startDeadline {
 				s.endRun(r, events.RunLost, "")
+				givenUp.add(r)
 			}
 		}
+		s.recordLeaseEnd(w, givenUp)
 		s.removeIfUnused(w)
 	}
 }
