Log and count runs that outlive their leases

A worker whose leases the owner counted too short goes on with runs whose tasks may run elsewhere already, and nothing said so: the run was stopped as unknown, like those of former owners. No decision depends on it.

Run: go test -race ./entry/sched ./entry/engine ./entry/stats and make lint pass. TestOutlivedRuns, TestGivenUpIsBounded and TestRunOutlivedLeaseLine fail without the parts that they cover, each taken out in turn.

--- a/entry/engine/restart_test.go
+++ b/entry/engine/restart_test.go
@@ -243,3 +243,30 @@
 		})
 	}
 }
+
+// TestRunOutlivedLeaseLine guards against a run that goes on after its task may have started
+// elsewhere, without a line and a count that say so.
+func TestRunOutlivedLeaseLine(t *testing.T) {
+	t.Parallel()
+	task := graph.TaskID{Job: testJob}
+	r := newRestartTerm(t)
+	r.reply(PollReply{ClockMS: 50_000, BootUnixMS: 1})
+	r.start()
+	r.fail(2)
+	r.clk.Advance(8 * time.Second)
+	r.term.state.Decide(r.clk.Now())
+	r.clk.Advance(500 * time.Millisecond)
+	for range 2 { // the second reply adds nothing
+		r.reply(PollReply{ClockMS: 3000, BootUnixMS: 9, Running: []sched.RunStatus{{Task: task, Attempt: 1}}})
+	}
+	want := []map[string]any{{
+		"worker": "w0", "boot_ms": int64(9), "former_boot_ms": int64(1), "task": task.String(), "attempt": int64(1), "given_up_ms": int64(500),
+		"confirmed": false, "clock_ms": int64(3000),
+	}}
+	if diff := cmp.Diff(want, r.lines("run outlived its lease")); diff != "" {
+		t.Errorf("lines (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(1.0, r.count("limpethitch_runs_outlived_lease_total")); diff != "" {
+		t.Errorf("runs counted (-want +got):\n%s", diff)
+	}
+}
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -249,6 +249,7 @@
 		Worker: c.id, BootUnixMS: reply.BootUnixMS, PolledAt: sent, Running: reply.Running, Ended: reply.Ended,
 		MoreEnds: reply.MoreEnds,
 	})
+	e.reportOutlivedRuns(t, reply.ClockMS, now)
 	if lastEnd > c.ackableEnd {
 		c.ackableEnd, c.ackableRound = lastEnd, t.round+1
 		return
@@ -283,6 +284,17 @@
 	}
 }
 
+// reportOutlivedRuns logs and counts the runs that a worker's reply still lists although they were
+// given up. clockMS is the worker's clock in the reply.
+func (e *Engine) reportOutlivedRuns(t *term, clockMS int64, now clock.Mono) {
+	for _, r := range t.state.TakeOutlivedRuns() {
+		e.cfg.Metrics.CountRunOutlivedLease()
+		e.log.Warn("run outlived its lease", zap.String("worker", r.Worker), zap.Int64("boot_ms", r.BootUnixMS),
+			zap.Int64("former_boot_ms", r.GivenUpBootUnixMS), zap.String("task", r.Task.String()), zap.Int("attempt", r.Attempt),
+			zap.Int64("given_up_ms", millisSince(r.GivenUpAt, now)), zap.Bool("confirmed", r.Confirmed), zap.Int64("clock_ms", clockMS))
+	}
+}
+
 // millisSince returns the time from at to now in milliseconds, or -1 if at is 0.
 func millisSince(at, now clock.Mono) int64 {
 	if at == 0 {
--- a/entry/sched/givenup_test.go
+++ b/entry/sched/givenup_test.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -70,3 +71,85 @@
 		})
 	}
 }
+
+// TestOutlivedRuns guards against a lease that was counted too short and is not noticed when the
+// worker answers again, and against false alarms: by a reply as old as the decision, or by runs
+// that ended in time.
+func TestOutlivedRuns(t *testing.T) {
+	t.Parallel()
+	begin := testNow.Add(relistTime)
+	givenUpAt := begin.Add(testLease)
+	both := []RunStatus{{Task: taskID(0, 0), Attempt: 1}, {Task: taskID(0, 1), Attempt: 1}}
+	first := OutlivedRun{Worker: "w1", BootUnixMS: 1, GivenUpBootUnixMS: 1, Task: taskID(0, 0), Attempt: 1, Confirmed: true, GivenUpAt: givenUpAt}
+	second := first
+	second.Task, second.Confirmed = taskID(0, 1), false
+	restarted := second
+	restarted.BootUnixMS = 2
+	report := func(after time.Duration, bootMS int64, running ...RunStatus) Report {
+		return Report{Worker: "w1", BootUnixMS: bootMS, PolledAt: givenUpAt.Add(after), Running: running}
+	}
+	tests := map[string]struct {
+		delisted bool // and removed, as it has no runs left
+		reports  []Report
+		want     []OutlivedRun
+	}{
+		"none listed":                 {reports: []Report{report(1, 1)}},
+		"both listed":                 {reports: []Report{report(1, 1, both...)}, want: []OutlivedRun{first, second}},
+		"listed by the next life":     {reports: []Report{report(1, 2, both[1])}, want: []OutlivedRun{restarted}},
+		"listed on its return":        {delisted: true, reports: []Report{report(1, 1, both[0])}, want: []OutlivedRun{first}},
+		"another attempt":             {reports: []Report{report(1, 1, RunStatus{Task: taskID(0, 0), Attempt: 2})}},
+		"polled before":               {reports: []Report{report(0, 1, both...)}},
+		"polled before, then after":   {reports: []Report{report(0, 1, both...), report(1, 1, both[0])}, want: []OutlivedRun{first}},
+		"first answer lists none":     {reports: []Report{report(1, 1), report(2, 1, both...)}},
+		"listed in two answers":       {reports: []Report{report(1, 1, both[0]), report(2, 1, both[0])}, want: []OutlivedRun{first}},
+		"another worker's first list": {reports: []Report{{Worker: "w2", BootUnixMS: 1, PolledAt: givenUpAt.Add(1), Running: both}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newGivenUpState(t)
+			if tt.delisted {
+				s.DelistWorker("w1")
+			} else {
+				s.WorkerUnresponsive("w1")
+			}
+			s.Decide(givenUpAt)
+			if tt.delisted {
+				if s.HasWorker("w1") {
+					t.Fatal("the delisted worker is still known")
+				}
+				listTestWorker(s, "w1", 1)
+			}
+			for _, r := range tt.reports {
+				s.Observe(r)
+			}
+			if diff := cmp.Diff(tt.want, s.TakeOutlivedRuns()); diff != "" {
+				t.Errorf("records (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff([]OutlivedRun(nil), s.TakeOutlivedRuns()); diff != "" {
+				t.Errorf("records taken again (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestGivenUpIsBounded guards against given-up runs that are remembered without a bound, as many
+// workers that never answer again would have them.
+func TestGivenUpIsBounded(t *testing.T) {
+	t.Parallel()
+	const excess = 3
+	s := newState(t, nil)
+	s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 1000}))
+	runs := make(runSet, maxGivenUpRuns+excess)
+	for i := range runs {
+		runs[i] = &run{task: s.lookupTask(taskID(0, 0)), attempt: i + 1}
+	}
+	for i := range maxGivenUpWorkers + excess {
+		s.SetNow(testNow.Add(time.Duration(i)), 0)
+		s.recordLeaseEnd(&worker{spec: WorkerSpec{ID: strconv.Itoa(i)}}, runs)
+	}
+	first, last := s.givenUp[strconv.Itoa(excess-1)], s.givenUp[strconv.Itoa(excess)]
+	if diff := cmp.Diff([]int{maxGivenUpWorkers, 0, maxGivenUpRuns, excess + 1}, []int{len(s.givenUp), len(first), len(last), last[0].attempt}); diff != "" {
+		t.Errorf("workers, runs of one that was forgotten, runs of one that was kept, its first attempt (-want +got):\n%s", diff)
+	}
+}
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -41,6 +41,7 @@
 // Observe applies a worker's report. It returns the sequence number of the last processed
 // end, which may be acknowledged to the worker once the events are stored.
 func (s *State) Observe(r Report) int64 {
+	s.checkGivenUp(r)
 	w := s.workers[r.Worker]
 	if w == nil {
 		return 0
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -333,6 +333,10 @@
 	compactable []*job // finished jobs that are not compacted yet
 	cutShort    []CutShort
 	leaseEnds   []LeaseEnd
+	outlived    []OutlivedRun
+	// givenUp has the runs that were given up because their worker's leases had ended, by
+	// worker.
+	givenUp map[string][]givenUpRun
 	// preempted counts the runs that ended because they were stopped for a gang,
 	// lostCoreSeconds is the work of all runs that were cut short.
 	preempted       int
@@ -354,7 +358,7 @@
 		cfg: cfg, outOfService: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), teams: make(map[string]*team), cancelledEarly: make(map[string]bool),
 		scratch: scratch{busyQueues: make(map[string]int)}, pastUse: newPastUse(cfg.PastUseHalfLife),
-		overloadedSince: make(map[string]clock.Mono),
+		overloadedSince: make(map[string]clock.Mono), givenUp: make(map[string][]givenUpRun),
 	}
 }
 
--- a/entry/stats/stats.go
+++ b/entry/stats/stats.go
@@ -61,6 +61,7 @@
 	refusals   *prometheus.CounterVec
 	retryAfter *prometheus.GaugeVec
 	restarts   prometheus.Counter
+	outlived   prometheus.Counter
 }
 
 // New returns metrics with their own registry. droppedLines returns the number of log
@@ -111,13 +112,14 @@
 			Help: "Time after which the caller that was refused last may return, by the reason of the refusal.",
 		}, []string{"reason"}),
 		restarts: total("worker_restarts_total", "Workers that answered the owner as another incarnation under the same id."),
+		outlived: total("runs_outlived_lease_total", "Runs that a worker listed after they were given up because its leases had ended."),
 	}
 	dropped := prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Namespace: namespace, Name: "log_lines_left_out_total",
 		Help: "Log lines dropped because the buffer was full or the rate limit was exceeded.",
 	}, func() float64 { return float64(droppedLines()) })
 	m.registry.MustRegister(m.calls, m.results, m.firstStart, m.jobs, m.events, m.advice, m.starts, m.panics,
-		m.refused, m.owner, m.runs, m.waiting, m.leaseHeld, m.useShare, m.useWeight, m.useLevel, m.slow, m.cutShort, m.lostWork, m.refusals, m.retryAfter, m.restarts, dropped,
+		m.refused, m.owner, m.runs, m.waiting, m.leaseHeld, m.useShare, m.useWeight, m.useLevel, m.slow, m.cutShort, m.lostWork, m.refusals, m.retryAfter, m.restarts, m.outlived, dropped,
 		collectors.NewGoCollector())
 	return m
 }
@@ -238,6 +240,9 @@
 // CountWorkerRestart counts a worker that answered as another incarnation.
 func (m *Metrics) CountWorkerRestart() { m.restarts.Inc() }
 
+// CountRunOutlivedLease counts a run that was listed after it was given up.
+func (m *Metrics) CountRunOutlivedLease() { m.outlived.Inc() }
+
 // CountStart counts a start order by its outcome.
 func (m *Metrics) CountStart(outcome string) { m.starts.WithLabelValues(outcome).Inc() }
 
