Add failing tests of workers that restart under their id

The model assumed that an order reaches only the incarnation it was meant for. On the platform the instance header names the id only, so that a later incarnation executes orders meant for a former one: an expiry on the former clock gives it the longest lease (10 s), a start begins there, a stop bars nothing, and a poll acknowledges ends that the owner has not received.

The model's workers now have one clock, token and lease for each incarnation, grant min(expiry, clock + 10 s) to all their runs, may be down for a time in which orders wait, and execute orders meant for a former incarnation up to 2 s late. A later incarnation does not execute a start whose run was given up before the crash: no owner can prevent that.

--- a/entry/sched/model_test.go
+++ b/entry/sched/model_test.go
@@ -17,11 +17,18 @@
 
 // The model drives a State against simulated workers that behave like the platform's:
 // they check fencing tokens, enforce leases, list some ends until they are acknowledged, lose
-// replies and carry out orders late. It checks the invariants at each start.
+// replies and carry out orders late. A worker that starts again under its id knows nothing of
+// before, and executes orders that were meant for its former incarnation. The model checks the
+// invariants at each start.
 
 const (
-	modelTick        = 10 * time.Millisecond
-	modelLease       = 7500 * time.Millisecond
+	modelTick  = 10 * time.Millisecond
+	modelLease = 7500 * time.Millisecond
+	// modelMaxLease is how long the owner takes such a lease to last: 3% longer, for the worker's
+	// slow clock, and 300 ms more for the delay of messages.
+	modelMaxLease = modelLease*103/100 + 300*time.Millisecond
+	// modelStartTTL is how long after the decision a start may take effect.
+	modelStartTTL    = 2 * time.Second
 	modelWorkerCPU   = 32000
 	modelAccountCPU  = 80000
 	modelMaxAttempts = 2
@@ -29,34 +36,13 @@
 	// modelFormerTime is how long after a takeover the former owner extends leases.
 	modelFormerTime     = 5 * time.Second
 	modelFormerLeaseTTL = 14 * time.Second
+	// modelDownTime, modelCut and modelLongRun are those of the incident of issue 39: how long a
+	// worker is down, how long it is cut off soon after, and the least duration of a run.
+	modelDownTime = 600 * time.Millisecond
+	modelCut      = 9 * time.Second
+	modelLongRun  = 12 * time.Second
 )
 
-type modelRun struct {
-	task      graph.TaskID
-	attempt   int
-	cpu       int64
-	endsAt    clock.Mono
-	outcome   events.RunOutcome
-	expiresAt clock.Mono
-	stopsAt   clock.Mono
-	gangSize  int
-	gangStart clock.Mono
-}
-
-type modelWorker struct {
-	id               string
-	bootMS           int64
-	token            int64
-	runs             map[graph.TaskID]*modelRun
-	sorted           []graph.TaskID       // keys of runs in start order
-	maxBarredAttempt map[graph.TaskID]int // highest attempt stopped or ended
-	ended            []RunEnd
-	lastSeq          int64
-	unreachableUntil clock.Mono
-	ackedSeq         int64
-	polling          bool
-}
-
 // message is an order, a report or a reply in flight. apply delivers it.
 type message struct {
 	at    clock.Mono
@@ -68,8 +54,8 @@
 	seed    uint64
 	rng     *rand.Rand
 	now     clock.Mono
-	state   *State
-	token   int64
+	owner   *modelOwner
+	epoch   int64
 	workers []*modelWorker
 	jobs    map[string]*graph.Job
 	journal []events.Segment
@@ -82,15 +68,19 @@
 	messages      []message
 	jobCount      int
 	starts        int
-	faultFree     bool
+	// sentStarts are the starts of the last modelMaxLate.
+	sentStarts []*sentStart
+	faultFree  bool
 	// longRuns makes runs last longer than a lease, so that one that goes on after its lease
 	// was taken as ended is seen.
 	longRuns bool
-	// earlierBuild is whether the owner knows no lease notes. notesSince is the first term of
-	// the unbroken sequence of owners that do.
-	earlierBuild bool
-	notesSince   int64
-	former       formerOwner
+	// restarts leaves out all other faults, unless it is empty.
+	restarts modelRestarts
+	// restarted is the number of these restarts.
+	restarted int
+	// notesSince is the first term of the unbroken sequence of owners that know lease notes.
+	notesSince int64
+	former     formerOwner
 	// writing is whether a round's events are being stored. Until they are, no round follows.
 	writing bool
 	// restored counts the takeovers whose owner read a list of leases.
@@ -99,36 +89,38 @@
 
 // formerOwner is an owner that is cut off from the store and goes on extending leases.
 type formerOwner struct {
-	state        *State
-	token        int64
-	earlierBuild bool
-	until        clock.Mono
+	*modelOwner
+	until clock.Mono
 	// reachesAll is whether it reaches the workers that the new owner does not reach.
 	reachesAll bool
 }
 
-func mayExtend(s *State, earlierBuild bool, id string) bool {
-	return earlierBuild || s.MayExtendLease(id)
-}
-
-// extendByFormer has the former owner extend the leases of a worker.
+// extendByFormer has the former owner extend the leases of a worker. It learns of another
+// incarnation from the answer to an order that was meant for the former one.
 func (m *model) extendByFormer(w *modelWorker) {
 	f := &m.former
-	if f.state == nil || m.now >= f.until || f.token < w.token || m.now < w.unreachableUntil && !f.reachesAll || !mayExtend(f.state, f.earlierBuild, w.id) {
+	if f.modelOwner == nil || m.now >= f.until || w.isDown(m.now) || m.now < w.unreachableUntil && !f.reachesAll || !f.mayExtend(w.id) {
 		return
 	}
-	for _, r := range w.runs {
-		r.expiresAt = max(r.expiresAt, m.now.Add(modelLease))
+	c := f.conn(w.id)
+	if f.tokenFor(w.id) < w.token {
+		return
 	}
+	w.token = f.tokenFor(w.id)
+	if c.bootMS == w.bootMS {
+		c.leaseExpiry = max(c.leaseExpiry, c.clock(m.now)+modelLease)
+	}
+	w.extendLease(m.now, c.leaseExpiry)
+	c.heard(m.now, w.bootMS, w.clock(m.now))
 }
 
 // store appends events to the journal.
 func (m *model) store(list []events.Event) {
-	if m.earlierBuild {
+	if m.owner.earlierBuild {
 		list = slices.DeleteFunc(list, func(e events.Event) bool { return e.Kind == events.KindLease })
-		m.state.leaseNotes = leaseNotes{}
+		m.owner.state.leaseNotes = leaseNotes{}
 	}
-	m.journal = append(m.journal, events.Segment{Key: fmt.Sprintf("%s%016x/%010x", events.Prefix, m.token, len(m.journal)), Events: list})
+	m.journal = append(m.journal, events.Segment{Key: fmt.Sprintf("%s%016x/%010x", events.Prefix, m.epoch, len(m.journal)), Events: list})
 }
 
 func newModel(t *testing.T, seed uint64) *model {
@@ -137,9 +129,9 @@
 		cancels: make(map[string]clock.Mono), ackedDone: make(map[graph.TaskID]bool), done: make(map[graph.TaskID]bool), ackedFailures: make(map[graph.TaskID]int),
 	}
 	for i := range 6 {
-		m.workers = append(m.workers, &modelWorker{
-			id: fmt.Sprintf("w%d", i), bootMS: int64(i + 1), runs: make(map[graph.TaskID]*modelRun), maxBarredAttempt: make(map[graph.TaskID]int),
-		})
+		rate := 1 - (1-modelSlowestClock)*float64(m.rng.IntN(3))/2
+		bornAt := m.now.Add(-modelUptime - time.Duration(m.rng.IntN(10_000))*time.Millisecond)
+		m.workers = append(m.workers, &modelWorker{incarnation: newIncarnation(int64(i+1), bornAt, rate), id: fmt.Sprintf("w%d", i)})
 	}
 	m.takeOver()
 	return m
@@ -153,17 +145,17 @@
 // takeOver replaces the State with one recovered from the journal.
 func (m *model) takeOver() {
 	m.writing = false
-	m.former = formerOwner{state: m.state, token: m.token, earlierBuild: m.earlierBuild, until: m.now.Add(modelFormerTime), reachesAll: m.rng.IntN(2) == 0}
-	m.token++
-	m.earlierBuild = !m.faultFree && m.rng.IntN(6) == 0
+	m.former = formerOwner{modelOwner: m.owner, until: m.now.Add(modelFormerTime), reachesAll: m.rng.IntN(2) == 0}
+	m.epoch++
+	earlierBuild := !m.faultFree && m.restarts.interval == 0 && m.rng.IntN(6) == 0
 	switch {
-	case m.earlierBuild:
+	case earlierBuild:
 		m.notesSince = 0
 	case m.notesSince == 0:
-		m.notesSince = m.token
+		m.notesSince = m.epoch
 	}
 	s := New(Config{
-		StartTTL: 2 * time.Second, FormerLeaseTTL: modelFormerLeaseTTL, MaxLease: modelLease + time.Second, MaxStopDuration: 400 * time.Millisecond,
+		StartTTL: modelStartTTL, FormerLeaseTTL: modelFormerLeaseTTL, MaxLease: modelMaxLease, MaxStopDuration: 400 * time.Millisecond,
 		ReserveAdviser: func(int64) (string, bool) { return "vm", true },
 	})
 	s.SetNow(m.now, m.wall())
@@ -179,8 +171,8 @@
 		journal = append(journal, seg.Events...)
 	}
 	s.Replay(journal)
-	if !m.earlierBuild {
-		if list := LatestLeaseNote(m.journal, m.notesSince, m.token); len(list) > 0 {
+	if !earlierBuild {
+		if list := LatestLeaseNote(m.journal, m.notesSince, m.epoch); len(list) > 0 {
 			m.restored++
 			s.RestoreLeases(list)
 		}
@@ -190,23 +182,55 @@
 		s.Cancel(id)
 	}
 	for _, w := range m.workers {
-		s.PutWorker(WorkerSpec{ID: w.id, Addr: w.id, DataCentre: "dc", Service: "svc", Capacity: amount.New(modelWorkerCPU, 64000, 0, 0), BootUnixMS: w.bootMS})
-		w.ackedSeq = 0
+		s.PutWorker(WorkerSpec{ID: w.id, Addr: w.id, DataCentre: "dc", Service: "svc", Capacity: amount.New(modelWorkerCPU, 64000, 0, 0), BootUnixMS: w.entryBootMS(m.now)})
 	}
-	m.state = s
+	m.owner = &modelOwner{state: s, token: m.epoch, earlierBuild: earlierBuild, conns: make(map[string]*modelConn)}
 }
 
 func (m *model) wall() int64 { return time.Duration(m.now).Milliseconds() }
 
-// deliver runs f after a message delay of milliseconds, or sometimes seconds.
-func (m *model) deliver(f func()) {
-	wait := time.Duration(m.rng.IntN(5)) * time.Millisecond
-	if !m.faultFree && m.rng.IntN(40) == 0 {
-		wait = time.Duration(2000+m.rng.IntN(10000)) * time.Millisecond
-	}
+// after runs f after a time.
+func (m *model) after(wait time.Duration, f func()) {
 	m.messages = append(m.messages, message{at: m.now.Add(wait), apply: f})
 }
 
+func (m *model) randomMS(least, n int) time.Duration {
+	return time.Duration(least+m.rng.IntN(n)) * time.Millisecond
+}
+
+// send delivers an order of the owner to a worker after a delay of milliseconds, or sometimes
+// seconds. execute has the worker's incarnation of that time execute it, lost is called if the
+// order is lost. While the worker is down, orders are lost or wait for its next incarnation.
+func (m *model) send(w *modelWorker, execute, lost func()) {
+	sent, meantFor := m.now, m.owner.conn(w.id).bootMS
+	isLater := func() bool { return meantFor != 0 && meantFor != w.bootMS }
+	var arrive func()
+	arrive = func() {
+		switch {
+		case m.now < w.unreachableUntil, isLater() && m.now.Sub(sent) > modelMaxLate:
+			lost()
+		case w.isDown(m.now) && m.rng.IntN(2) == 0:
+			lost()
+		case w.isDown(m.now):
+			m.after(w.bornAt.Sub(m.now)+m.randomMS(0, 20), arrive)
+		default:
+			execute()
+		}
+	}
+	if m.faultFree || m.rng.IntN(40) > 0 {
+		m.after(m.randomMS(0, 5), arrive)
+		return
+	}
+	late := m.randomMS(2000, 10000)
+	m.after(m.randomMS(0, int(modelMaxLate.Milliseconds())), func() {
+		if isLater() {
+			arrive()
+			return
+		}
+		m.after(sent.Add(late).Sub(m.now), arrive)
+	})
+}
+
 func (m *model) loseReply() bool { return !m.faultFree && m.rng.IntN(40) == 0 }
 
 func (m *model) addJob() {
@@ -215,7 +239,7 @@
 	if m.longRuns {
 		j.Steps = append(j.Steps, graph.Step{Count: 1 + m.rng.IntN(6), CPUMilli: int64(500 + m.rng.IntN(2500)), MemoryMiB: 100, EstimateMS: 8000})
 		m.jobs[j.ID] = j
-		m.state.AddJob(j)
+		m.owner.state.AddJob(j)
 		return
 	}
 	for i := range 1 + m.rng.IntN(3) {
@@ -228,7 +252,7 @@
 		j.Steps = append(j.Steps, st)
 	}
 	m.jobs[j.ID] = j
-	m.state.AddJob(j)
+	m.owner.state.AddJob(j)
 }
 
 func (m *model) runningCPU() int64 {
@@ -242,26 +266,25 @@
 }
 
 // start is the worker's handling of a start order.
-func (m *model) start(w *modelWorker, bootMS, token int64, id graph.TaskID, attempt int, expires clock.Mono) StartOutcome {
-	if w.bootMS != bootMS {
-		return OutcomeRejected
-	}
-	if token < w.token {
+func (m *model) start(w *modelWorker, o modelStart) StartOutcome {
+	if o.token < w.token {
 		return OutcomeFenced
 	}
-	w.token = token
+	w.token = o.token
+	id, attempt := o.task, o.attempt
+	w.extendLease(m.now, o.expiry)
 	if r := w.runs[id]; r != nil && r.attempt == attempt {
 		return OutcomeStarted
 	}
 	if attempt <= w.maxBarredAttempt[id] {
 		return OutcomeStaleAttempt
 	}
-	if m.now > expires {
+	if w.clock(m.now) > o.expiry {
 		return OutcomeExpired
 	}
 	m.checkStart(w, id, attempt)
 	spec := &m.jobs[id.Job].Steps[id.Step]
-	r := &modelRun{task: id, attempt: attempt, cpu: spec.CPUMilli, expiresAt: expires, outcome: events.RunDone}
+	r := &modelRun{task: id, attempt: attempt, cpu: spec.CPUMilli, outcome: events.RunDone}
 	if !m.longRuns && m.rng.IntN(12) == 0 {
 		r.outcome = events.RunFailed
 	}
@@ -269,6 +292,9 @@
 	if m.longRuns {
 		r.endsAt = r.endsAt.Add(time.Duration(m.rng.IntN(20)) * time.Second)
 	}
+	if m.restarts.cut {
+		r.endsAt = m.now.Add(modelLongRun + m.randomMS(0, 8000))
+	}
 	if spec.Gang {
 		r.gangSize, r.gangStart = spec.Count, m.now
 	}
@@ -315,21 +341,13 @@
 	}
 }
 
-func (w *modelWorker) end(r *modelRun, outcome events.RunOutcome) {
-	w.lastSeq++
-	w.maxBarredAttempt[r.task] = max(w.maxBarredAttempt[r.task], r.attempt)
-	w.ended = append(w.ended, RunEnd{Seq: w.lastSeq, Task: r.task, Attempt: r.attempt, Outcome: outcome})
-	delete(w.runs, r.task)
-	w.sorted = slices.DeleteFunc(w.sorted, func(id graph.TaskID) bool { return id == r.task })
-}
-
 // advanceRuns ends the runs of a worker that are due.
 func (m *model) advanceRuns(w *modelWorker) {
 	for _, id := range slices.Clone(w.sorted) {
 		r := w.runs[id]
 		switch {
 		case r == nil:
-		case m.now >= r.expiresAt, r.stopsAt != 0 && m.now >= r.stopsAt:
+		case w.clock(m.now) >= w.leaseExpiry, r.stopsAt != 0 && m.now >= r.stopsAt:
 			w.end(r, events.RunStopped)
 		case r.gangSize > 0:
 			m.advanceGang(w, r)
@@ -374,45 +392,46 @@
 	}
 }
 
-// poll polls a worker. The report is delayed or lost on the way back.
+// poll polls a worker. The order may be late or lost, and so may the reply.
 func (m *model) poll(w *modelWorker) {
-	if w.polling {
+	owner := m.owner
+	c := owner.conn(w.id)
+	if c.openPoll != 0 {
 		return
 	}
 	if m.now < w.unreachableUntil {
-		m.state.WorkerUnresponsive(w.id)
+		owner.pollFailed(w.id)
+		owner.state.WorkerUnresponsive(w.id)
 		return
 	}
-	if m.token < w.token {
-		m.failf("worker %s has a newer token", w.id)
-	}
-	w.token = m.token
-	sent := m.now
-	keep := w.ended[:0:0]
-	for _, e := range w.ended {
-		if e.Seq > w.ackedSeq {
-			keep = append(keep, e)
-			continue
-		}
-		switch e.Outcome {
-		case events.RunDone:
-			m.ackedDone[e.Task] = true
-		case events.RunFailed:
-			m.ackedFailures[e.Task]++
-		case events.RunStopped, events.RunLost:
+	order := owner.newPoll(m.now, w.id)
+	c.polls++
+	n, sent := c.polls, m.now
+	c.openPoll = n
+	failed := func() {
+		if c.openPoll == n {
+			owner.pollFailed(w.id)
 		}
 	}
-	w.ended = keep
-	extend := mayExtend(m.state, m.earlierBuild, w.id)
-	if extend {
-		m.state.LeaseExtended(w.id, m.now.Add(modelLease+time.Second))
+	m.after(modelPollTimeout, failed)
+	m.send(w, func() { m.executePoll(w, owner, order, n, sent) }, failed)
+}
+
+// executePoll is the worker's handling of a poll.
+func (m *model) executePoll(w *modelWorker, owner *modelOwner, order modelPoll, n int, sent clock.Mono) {
+	c := owner.conn(w.id)
+	if order.token < w.token {
+		if owner == m.owner && c.openPoll == n {
+			m.failf("worker %s has a newer token", w.id)
+		}
+		return
 	}
+	w.token = order.token
+	m.forgetEnds(w, order.ack)
+	w.extendLease(m.now, order.expiry)
 	rep := Report{Worker: w.id, BootUnixMS: w.bootMS, PolledAt: sent}
 	for _, id := range w.sorted {
 		r := w.runs[id]
-		if extend {
-			r.expiresAt = max(r.expiresAt, m.now.Add(modelLease))
-		}
 		rep.Running = append(rep.Running, RunStatus{Task: r.task, Attempt: r.attempt, Percent: int(m.now/clock.Mono(modelTick)) % 100})
 	}
 	rep.Ended = append(rep.Ended, w.ended[:min(len(w.ended), modelListedEnds)]...)
@@ -420,20 +439,44 @@
 	if m.loseReply() {
 		return
 	}
-	state, bootMS := m.state, w.bootMS
-	w.polling = true
-	m.messages = append(m.messages, message{at: m.now.Add(time.Duration(m.rng.IntN(60)) * time.Millisecond), apply: func() {
-		w.polling = false
-		if state != m.state || bootMS != w.bootMS {
+	workerClock := w.clock(m.now)
+	m.after(m.randomMS(0, 60), func() {
+		if c.openPoll != n || owner != m.owner {
 			return
 		}
-		state.SetNow(m.now, m.wall())
-		seq := state.Observe(rep)
-		if !m.writing {
-			w.ackedSeq = seq
-			m.store(state.TakeEvents())
+		c.openPoll = 0
+		c.heard(m.now, rep.BootUnixMS, workerClock)
+		m.observe(owner, c, rep)
+	})
+}
+
+// observe passes a report to the owner and stores its events.
+func (m *model) observe(owner *modelOwner, c *modelConn, rep Report) {
+	owner.state.SetNow(m.now, m.wall())
+	seq := owner.state.Observe(rep)
+	if !m.writing {
+		c.acked = seq
+		m.store(owner.state.TakeEvents())
+	}
+}
+
+// forgetEnds removes the ends of a worker that a poll acknowledges.
+func (m *model) forgetEnds(w *modelWorker, ack int64) {
+	keep := w.ended[:0:0]
+	for _, e := range w.ended {
+		if e.Seq > ack {
+			keep = append(keep, e)
+			continue
 		}
-	}})
+		switch e.Outcome {
+		case events.RunDone:
+			m.ackedDone[e.Task] = true
+		case events.RunFailed:
+			m.ackedFailures[e.Task]++
+		case events.RunStopped, events.RunLost:
+		}
+	}
+	w.ended = keep
 }
 
 func (m *model) worker(id string) *modelWorker {
@@ -450,89 +493,106 @@
 	if m.writing {
 		return
 	}
-	m.state.SetNow(m.now, m.wall())
-	list := m.state.Decide(m.now)
+	state := m.owner.state
+	state.SetNow(m.now, m.wall())
+	list := state.Decide(m.now)
 	if time.Duration(m.now)%(50*modelTick) == 0 {
-		if diff := checkIndex(m.state); diff != "" {
+		if diff := checkIndex(state); diff != "" {
 			m.failf("index (-want +got):\n%s", diff)
 		}
 	}
-	if !m.faultFree && m.rng.IntN(1500) == 0 {
+	if !m.faultFree && m.restarts.interval == 0 && m.rng.IntN(1500) == 0 {
 		m.takeOver() // the owner is gone before its journal write
 		return
 	}
-	state, entries := m.state, m.state.TakeEvents()
+	entries := state.TakeEvents()
 	if m.faultFree || m.rng.IntN(60) > 0 && (!m.longRuns || len(entries) == 0 || m.rng.IntN(4) > 0) {
 		m.roundStored(m.now, list, entries)
 		return
 	}
 	m.writing = true
 	decidedAt := m.now
-	wait := time.Duration(m.rng.IntN(3000)) * time.Millisecond
-	m.messages = append(m.messages, message{at: m.now.Add(wait), apply: func() {
-		if state == m.state {
+	m.after(m.randomMS(0, 3000), func() {
+		if state == m.owner.state {
 			m.writing = false
 			m.roundStored(decidedAt, list, entries)
 		}
-	}})
+	})
 }
 
 // roundStored stores the events of a round and carries out its decisions.
 func (m *model) roundStored(decidedAt clock.Mono, list []Decision, entries []events.Event) {
 	m.store(entries)
-	if !m.faultFree && m.rng.IntN(400) == 0 {
+	if !m.faultFree && m.restarts.interval == 0 && m.rng.IntN(400) == 0 {
 		m.takeOver() // the owner is gone between its journal write and the store's reply
 		return
 	}
-	state := m.state
-	state.LeasesStored()
+	m.owner.state.LeasesStored()
 	if !m.faultFree && m.rng.IntN(400) == 0 {
 		return // the orders are lost
 	}
 	for _, d := range list {
 		switch d := d.(type) {
 		case Start:
-			w := m.worker(d.Worker)
-			token, bootMS, expires := m.token, w.bootMS, decidedAt.Add(2*time.Second)
-			if m.now.Sub(decidedAt) > time.Second || !mayExtend(state, m.earlierBuild, w.id) {
-				state.StartAnswered(d.Task, d.Attempt, d.Worker, OutcomeNotSent)
-				continue
-			}
-			state.LeaseExtended(w.id, m.now.Add(modelLease+time.Second))
-			m.deliver(func() {
-				if m.now < w.unreachableUntil {
-					state.StartAnswered(d.Task, d.Attempt, d.Worker, OutcomeUnknown)
-					return
-				}
-				o := m.start(w, bootMS, token, d.Task, d.Attempt, expires)
-				if m.loseReply() {
-					o = OutcomeUnknown
-				}
-				state.SetNow(m.now, m.wall())
-				state.StartAnswered(d.Task, d.Attempt, d.Worker, o)
-			})
+			m.sendStart(decidedAt, d)
 		case Stop:
-			w := m.worker(d.Worker)
-			token, bootMS := m.token, w.bootMS
-			m.deliver(func() {
-				if m.now < w.unreachableUntil || token < w.token || bootMS != w.bootMS {
-					return
-				}
-				w.token = token
-				w.maxBarredAttempt[d.Task] = max(w.maxBarredAttempt[d.Task], d.Attempt)
-				if r := w.runs[d.Task]; r != nil && r.attempt <= d.Attempt {
-					r.stopsAt = m.now.Add(300 * time.Millisecond)
-				}
-				if !m.loseReply() {
-					state.SetNow(m.now, m.wall())
-					state.StopAccepted(d.Task, d.Attempt, d.Worker)
-				}
-			})
+			m.sendStop(d)
 		case RequestAdvice, Throttle:
 		}
 	}
 }
 
+// sendStart has a worker start a run. Some orders are sent twice, because the owner repeats those
+// whose answer is late; it gets the second answer then.
+func (m *model) sendStart(decidedAt clock.Mono, d Start) {
+	w, state := m.worker(d.Worker), m.owner.state
+	order, ok := m.owner.newStart(m.now, decidedAt, d)
+	if !ok {
+		state.StartAnswered(d.Task, d.Attempt, d.Worker, OutcomeNotSent)
+		return
+	}
+	meantFor, sent := m.owner.conn(w.id).bootMS, &sentStart{modelStart: order, worker: w.id, sentAt: m.now}
+	m.sentStarts = append(m.sentStarts, sent)
+	execute := func() StartOutcome {
+		if sent.givenUp && w.bootMS != meantFor {
+			return OutcomeUnknown
+		}
+		return m.start(w, order)
+	}
+	repeated := !m.faultFree && m.rng.IntN(40) == 0
+	if repeated {
+		m.send(w, func() { execute() }, func() {})
+	}
+	m.send(w, func() {
+		o := execute()
+		isLate := w.bootMS != meantFor && m.now.Sub(sent.sentAt) > modelStartTimeout
+		if m.loseReply() || isLate || repeated && o != OutcomeStarted {
+			o = OutcomeUnknown
+		}
+		state.SetNow(m.now, m.wall())
+		state.StartAnswered(d.Task, d.Attempt, d.Worker, o)
+	}, func() { state.StartAnswered(d.Task, d.Attempt, d.Worker, OutcomeUnknown) })
+}
+
+// sendStop has a worker stop a run.
+func (m *model) sendStop(d Stop) {
+	w, state, token := m.worker(d.Worker), m.owner.state, m.owner.tokenFor(d.Worker)
+	m.send(w, func() {
+		if token < w.token {
+			return
+		}
+		w.token = token
+		w.maxBarredAttempt[d.Task] = max(w.maxBarredAttempt[d.Task], d.Attempt)
+		if r := w.runs[d.Task]; r != nil && r.attempt <= d.Attempt {
+			r.stopsAt = m.now.Add(300 * time.Millisecond)
+		}
+		if !m.loseReply() {
+			state.SetNow(m.now, m.wall())
+			state.StopAccepted(d.Task, d.Attempt, d.Worker)
+		}
+	}, func() {})
+}
+
 // injectTakeoverOf replaces the owner around a partition of a worker: it lasts, or it ends and begins
 // again at the takeover.
 func (m *model) injectTakeoverOf(w *modelWorker) {
@@ -553,19 +613,73 @@
 	}})
 }
 
+// crash ends the incarnation of a worker. The next one begins after downTime.
+func (m *model) crash(w *modelWorker, downTime time.Duration) {
+	if w.isDown(m.now) {
+		return
+	}
+	m.sentStarts = slices.DeleteFunc(m.sentStarts, func(o *sentStart) bool { return m.now.Sub(o.sentAt) > modelMaxLate })
+	for _, o := range m.sentStarts {
+		if o.worker == w.id && !m.owner.hasRun(o) {
+			o.givenUp = true
+		}
+	}
+	w.formerBootMS = w.bootMS
+	w.incarnation = newIncarnation(w.bootMS+100, m.now.Add(downTime), w.clockRate)
+}
+
+// restartAndCut crashes a worker, which is back after downTime, and cuts it off from the owner after
+// another time, for modelCut.
+func (m *model) restartAndCut(w *modelWorker, downTime, upTime time.Duration) {
+	m.crash(w, downTime)
+	m.after(downTime+upTime, func() { w.unreachableUntil = m.now.Add(modelCut) })
+}
+
+// modelRestarts are restarts of workers under their ids.
+type modelRestarts struct {
+	interval int // steps between two; 0 is none
+	workers  int // number of workers that restart together
+	// cut is whether they are cut off soon after, while runs last for modelLongRun or longer.
+	cut bool
+	// takeOver is whether the owner is replaced soon after.
+	takeOver bool
+}
+
+// restartWorkers restarts the next workers in turn.
+func (m *model) restartWorkers() {
+	for range m.restarts.workers {
+		m.restarted++
+		if w := m.workers[m.restarted%len(m.workers)]; m.restarts.cut {
+			m.restartAndCut(w, modelDownTime, m.randomMS(500, 1500))
+		} else {
+			m.crash(w, m.randomMS(0, 600))
+		}
+	}
+	if m.restarts.takeOver {
+		m.after(m.randomMS(300, 2000), m.takeOver)
+	}
+}
+
 // injectFault injects a random fault, a takeover or a cancellation.
 func (m *model) injectFault() {
 	w := m.workers[m.rng.IntN(len(m.workers))]
-	if m.longRuns && m.rng.IntN(2) == 0 {
-		m.injectTakeoverOf(w)
-		return
+	if m.longRuns {
+		switch m.rng.IntN(4) {
+		case 0, 1:
+			m.injectTakeoverOf(w)
+			return
+		case 2:
+			m.restartAndCut(w, m.randomMS(200, 2800), m.randomMS(0, 2500))
+			return
+		}
 	}
 	switch m.rng.IntN(4) {
 	case 0: // a crash and a restart with the same ID
-		w.runs, w.maxBarredAttempt, w.ended, w.sorted = make(map[graph.TaskID]*modelRun), make(map[graph.TaskID]int), nil, nil
-		// The crash breaks the connection, and the next poll acknowledges nothing.
-		w.lastSeq, w.token, w.ackedSeq = 0, 0, 0
-		w.bootMS += 100
+		downTime := time.Duration(0)
+		if m.rng.IntN(2) == 0 {
+			downTime = m.randomMS(200, 2800)
+		}
+		m.crash(w, downTime)
 	case 1: // a network partition
 		w.unreachableUntil = m.now.Add(time.Duration(500+m.rng.IntN(9000)) * time.Millisecond)
 	case 2:
@@ -574,7 +688,7 @@
 		id := fmt.Sprintf("%016x", 1+m.rng.IntN(max(1, m.jobCount)))
 		if _, ok := m.cancels[id]; !ok && m.jobs[id] != nil {
 			m.cancels[id] = m.now
-			m.state.Cancel(id)
+			m.owner.state.Cancel(id)
 		}
 	}
 }
@@ -587,6 +701,19 @@
 	return 25
 }
 
+// injectFaults injects the faults of a step.
+func (m *model) injectFaults(step int) {
+	switch {
+	case m.faultFree:
+	case m.restarts.interval > 0:
+		if step%m.restarts.interval == m.restarts.interval-1 {
+			m.restartWorkers()
+		}
+	case m.rng.IntN(150) == 0:
+		m.injectFault()
+	}
+}
+
 func (m *model) run(steps int) {
 	for i := range steps {
 		m.now = m.now.Add(modelTick)
@@ -609,9 +736,7 @@
 		if !m.faultFree && i%m.jobInterval() == 0 {
 			m.addJob()
 		}
-		if !m.faultFree && m.rng.IntN(150) == 0 {
-			m.injectFault()
-		}
+		m.injectFaults(i)
 		m.decide()
 	}
 }
@@ -630,7 +755,7 @@
 		m.run(6000)
 		starts += m.starts
 		for id := range m.jobs {
-			if st, ok := m.state.Job(id); !ok || !st.Final() {
+			if st, ok := m.owner.state.Job(id); !ok || !st.Final() {
 				t.Errorf("seed %d: job %s is %q after a minute without faults", seed, id, st)
 			}
 		}
@@ -655,7 +780,7 @@
 		m.run(12000)
 		restored += m.restored
 		for id := range m.jobs {
-			if st, ok := m.state.Job(id); !ok || !st.Final() {
+			if st, ok := m.owner.state.Job(id); !ok || !st.Final() {
 				t.Errorf("seed %d: job %s is %q after two minutes without faults", seed, id, st)
 			}
 		}
@@ -664,3 +789,35 @@
 		t.Errorf("only %d takeovers with a list of leases: the model does not exercise them", restored)
 	}
 }
+
+// TestTaskRunsTwiceAfterWorkerRestart guards against a task that runs twice because a worker that restarted
+// under its id executed orders meant for its former incarnation.
+func TestTaskRunsTwiceAfterWorkerRestart(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		restarts modelRestarts
+		seeds    uint64
+	}{
+		"cut off soon after":                        {restarts: modelRestarts{interval: 1400, workers: 3, cut: true}, seeds: 10},
+		"cut off soon after, the owner is replaced": {restarts: modelRestarts{interval: 1400, workers: 3, cut: true, takeOver: true}, seeds: 10},
+		"short runs":                                {restarts: modelRestarts{interval: 100, workers: 1}, seeds: 20},
+		"short runs, the owner is replaced":         {restarts: modelRestarts{interval: 100, workers: 1, takeOver: true}, seeds: 20},
+	}
+	for name, tt := range tests {
+		for seed := range tt.seeds {
+			t.Run(fmt.Sprintf("%s/seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				m := newModel(t, seed)
+				m.longRuns, m.restarts = tt.restarts.cut, tt.restarts
+				m.run(6000)
+				m.faultFree = true
+				m.run(12000)
+				for id := range m.jobs {
+					if st, ok := m.owner.state.Job(id); !ok || !st.Final() {
+						t.Errorf("seed %d: job %s is %q after two minutes without faults", seed, id, st)
+					}
+				}
+			})
+		}
+	}
+}
