Raise the fencing token for a worker that restarts under its id

A commission is made and billed twice.

Cause: the owner took it that a call with a worker's id is executed only by the incarnation that it has in mind. The header names the id, so the next incarnation executes it too. An expiry on the former clock gave that one the longest lease of the platform (10 s) while the owner counted 8.025 s; a start meant for the former one was not refused as late, and it could run after it was given up; a stop that the former one accepted barred nothing.

Nothing starts there and no lease is extended until the worker has answered a poll with it; from then on it rejects every order for the former incarnation, and the owner counts the longest lease from that answer. Runs whose start may have reached the new incarnation stay open until then. A poll or start after a failed poll carries no expiry any more, and a worker that left a poll unanswered gets no task before it answers. The first answer to a new owner is treated alike, without a write.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -75,9 +75,10 @@
 	WorkerPrefix string
 	ParseWorker  ParseWorker
 	// Lease is how long a worker keeps its runs alive without a message from the
-	// owner. It is at most what the platform allows.
-	Lease   time.Duration
-	Metrics *stats.Metrics
+	// owner. LeaseCap is the longest lease that the platform allows: a worker shortens a
+	// longer one to it.
+	Lease, LeaseCap time.Duration
+	Metrics         *stats.Metrics
 	// StoreAge returns the time since the store last answered this VM.
 	StoreAge func() time.Duration
 	// RulesCurrent reports whether the configuration was read since this process was last
@@ -147,7 +148,10 @@
 	// decided.
 	workersOutdated bool
 	workers         map[string]*workerConn
-	compactor       compactor
+	// raisedTokens are the fencing tokens of workers that restarted, by id. A worker that was
+	// removed keeps its token: it rejects a lower one if it is listed again.
+	raisedTokens map[string]int64
+	compactor    compactor
 
 	maintenance maintenance
 	// drainDeadlines has the workers that drain for maintenance, each with the time
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -46,7 +46,7 @@
 	ctx, cancel := context.WithCancel(e.ctx)
 	t := &term{
 		Term: lt, begunAt: e.clk.Now(), ctx: ctx, cancel: cancel, workers: make(map[string]*workerConn),
-		unstoredJobs: make(map[string]int64), endWaits: make(map[string]chan struct{}), compactor: newCompactor(),
+		raisedTokens: make(map[string]int64), unstoredJobs: make(map[string]int64), endWaits: make(map[string]chan struct{}), compactor: newCompactor(),
 		writer: events.NewWriter(e.cfg.Store, lead.TermKey, lt.Epoch(), lt.Token(), e.clk, e.log),
 	}
 	t.state = sched.New(sched.Config{
@@ -56,8 +56,9 @@
 		PastUseHalfLife: e.cfg.PastUseHalfLife,
 
 		AvoidSlowWorkers: e.cfg.AvoidSlowWorkers,
-		FormerLeaseTTL:   lead.LeaseAuthorityDuration + e.maxLeaseOnWorker(),
+		FormerLeaseTTL:   max(lead.LeaseAuthorityDuration+e.maxLeaseOnWorker(), sched.FenceTTL+e.leaseCap()),
 		MaxLease:         e.maxLeaseOnWorker(),
+		LeaseCap:         e.leaseCap(),
 	})
 	e.term = t
 	e.greetMembers(t)
@@ -87,6 +88,12 @@
 	return time.Duration(float64(e.cfg.Lease)*(1+maxClockDrift)) + messageDelaySlack
 }
 
+// leaseCap returns how long a lease may last, measured on this VM's clock, if an order asks for
+// longer than the platform allows.
+func (e *Engine) leaseCap() time.Duration {
+	return time.Duration(float64(e.cfg.LeaseCap) * (1 + maxClockDrift))
+}
+
 // load reads the state from the store. It lists the prefixes concurrently, because a
 // new owner makes no decisions before it has all of them.
 func (e *Engine) load(ctx context.Context) (storedState, error) {
--- a/entry/engine/restart_test.go
+++ b/entry/engine/restart_test.go
@@ -204,6 +204,7 @@
 	h.submit(t)
 	h.waitForStatus(t, func(s JobStatus) bool { return s.Known })
 	w.comeBack()
+	h.listWorker(t, laterBootMS)
 	h.waitForStatus(t, func(s JobStatus) bool { return s.State.Final() })
 	w.checkOrders(t)
 }
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -100,7 +100,7 @@
 			e.log.Info("lease note", zap.Int("workers", len(ev.Leases)), zap.Int("held", t.state.HeldLeases()), zap.Int64("epoch", t.Epoch()),
 				zap.Int64("round", round))
 			continue
-		case events.KindStart, events.KindEnd, events.KindCancel:
+		case events.KindStart, events.KindEnd, events.KindCancel, events.KindRestart:
 		}
 		e.log.Info("event", zap.String("kind", ev.Kind.Name()), zap.String("task", ev.Task), zap.Int("attempt", ev.Attempt),
 			zap.String("worker", ev.Worker), zap.String("how", ev.Outcome.Name()), zap.Int64("epoch", t.Epoch()), zap.Int64("round", round))
@@ -111,16 +111,17 @@
 	}
 	e.reportLeaseEnds(t)
 	if len(list) == 0 {
-		e.handleRoundStored(t, round, starts)
+		e.handleRoundStored(t, round, 0, starts)
 		return
 	}
 	t.writing = true
 	parts := events.Split(list)
 	go func() {
 		keys := make([]string, len(parts))
+		var revision int64
 		err := e.guarded("journal", func() (err error) {
 			for i := 0; i < len(parts) && err == nil; i++ {
-				keys[i], err = t.writer.Append(t.ctx, parts[i])
+				keys[i], revision, err = t.writer.Append(t.ctx, parts[i])
 			}
 			return err
 		})
@@ -139,7 +140,7 @@
 			for i, part := range parts {
 				t.compactor.addSegment(keys[i], part, t.state.Compacted)
 			}
-			e.handleRoundStored(t, round, starts)
+			e.handleRoundStored(t, round, revision, starts)
 		})
 	}()
 }
@@ -157,13 +158,17 @@
 	}
 }
 
-// handleRoundStored sends the starts of a stored round, unless they are too old, and
-// polls the workers whose ended runs can now be acknowledged.
-func (e *Engine) handleRoundStored(t *term, round int64, starts []sched.Start) {
+// handleRoundStored sends the starts of a round that was stored at a revision, unless they are
+// too old, and polls the workers whose ended runs can now be acknowledged. The revision is 0 if
+// the round has no events.
+func (e *Engine) handleRoundStored(t *term, round, revision int64, starts []sched.Start) {
 	if e.term != t {
 		return
 	}
 	t.storedThrough = round
+	if revision > 0 {
+		e.raiseTokens(t, revision)
+	}
 	for id, r := range t.unstoredJobs {
 		if r <= round {
 			delete(t.unstoredJobs, id)
@@ -190,6 +195,18 @@
 	e.pollAckableWorkers(t)
 }
 
+// raiseTokens has the workers whose restarts were stored at a revision see that as the fencing
+// token. They then reject what was sent to their former incarnations.
+func (e *Engine) raiseTokens(t *term, revision int64) {
+	for _, id := range t.state.RestartsStored(revision) {
+		t.raisedTokens[id] = revision
+		e.log.Info("fencing token raised", zap.String("worker", id), zap.Int64("token", revision), zap.Int64("epoch", t.Epoch()))
+		if c := t.workers[id]; c != nil {
+			e.poll(t, c)
+		}
+	}
+}
+
 // dispatch executes the decisions that do not depend on stored events. It appends the
 // starts, which do, to starts and returns them.
 func (e *Engine) dispatch(t *term, list []sched.Decision, starts []sched.Start) []sched.Start {
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -72,6 +72,9 @@
 // out whether only the reply was lost.
 var startTimeouts = []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond}
 
+// tokenOf returns the fencing token for orders to a worker.
+func (t *term) tokenOf(id string) int64 { return max(t.Token(), t.raisedTokens[id]) }
+
 // workerClock returns the current time on the worker's clock.
 func (c *workerConn) workerClock(now clock.Mono) int64 {
 	return c.clockMS + now.Sub(c.clockAt).Milliseconds()
@@ -121,8 +124,9 @@
 
 // poll polls a worker, unless a poll is in flight or it is too early for one. A poll
 // acknowledges the ended runs whose events are stored and returns what runs and what
-// ended. It also extends the worker's lease, except that a poll after a failed one, or of a
-// worker whose lease may not be extended, repeats the last expiry.
+// ended. It also extends the worker's lease, unless the last poll failed or the lease may not be
+// extended: after a failure the worker may have restarted, and an expiry on the former
+// incarnation's clock would give it the longest lease.
 func (e *Engine) poll(t *term, c *workerConn) {
 	if c.polling || c.addr == "" || !t.ready {
 		return
@@ -148,28 +152,28 @@
 		// received.
 		c.ackedEnd = 0
 	}
-	order := PollOrder{Addr: c.addr, Instance: c.id, Token: t.Token(), AckThrough: c.ackedEnd}
+	order := PollOrder{Addr: c.addr, Instance: c.id, Token: t.tokenOf(c.id), AckThrough: c.ackedEnd}
 	if _, ok := e.cfg.Elector.LeaseAuthority(); !ok {
 		return
 	}
-	if c.clockMS == 0 {
+	fencing, raised := t.state.FencePending(c.id)
+	switch {
+	case fencing && !raised && now.Sub(c.pollEndedAt) < maxAckDelay:
+		return // until the raised token is stored
+	case fencing, c.clockMS == 0:
 		wait = 0
-	} else {
-		held := !t.state.MayExtendLease(c.id)
-		if held && c.failures == 0 {
-			// No poll is to be in flight when the lease may be extended, and polls must not be
-			// more frequent than usual until then.
-			if now.Sub(c.pollEndedAt) < wait {
-				return
-			}
-			wait = min(wait, heldPollWait)
-		}
-		if c.failures == 0 && !held {
-			c.leaseExpiresMS = max(c.leaseExpiresMS, c.workerClock(now)+e.cfg.Lease.Milliseconds())
-			c.leaseExtendedAt = now
-			t.state.LeaseExtended(c.id, now.Add(e.maxLeaseOnWorker()))
-		}
+	case c.failures > 0:
+	case t.state.MayExtendLease(c.id):
+		c.leaseExpiresMS, c.leaseExtendedAt = c.workerClock(now)+e.cfg.Lease.Milliseconds(), now
 		order.ExpiresMS = c.leaseExpiresMS
+		t.state.LeaseExtended(c.id, now, now.Add(e.maxLeaseOnWorker()))
+	default:
+		// No poll is to be in flight when the lease may be extended, and polls must not be
+		// more frequent than usual until then.
+		if now.Sub(c.pollEndedAt) < wait {
+			return
+		}
+		wait = min(wait, heldPollWait)
 	}
 	if wait == 0 && t.immediatePolls >= maxImmediatePolls {
 		return
@@ -188,7 +192,7 @@
 		})
 		e.post(func() {
 			release()
-			e.handlePollReply(t, c, now, reply, err)
+			e.handlePollReply(t, c, now, order, reply, err)
 		})
 	}()
 }
@@ -215,7 +219,7 @@
 }
 
 // handlePollReply handles the result of a poll that was sent at sent.
-func (e *Engine) handlePollReply(t *term, c *workerConn, sent clock.Mono, reply PollReply, err error) {
+func (e *Engine) handlePollReply(t *term, c *workerConn, sent clock.Mono, order PollOrder, reply PollReply, err error) {
 	if e.term != t {
 		return
 	}
@@ -246,7 +250,7 @@
 	}
 	t.state.SetNow(now, e.clk.Wall().UnixMilli())
 	lastEnd := t.state.Observe(sched.Report{
-		Worker: c.id, BootUnixMS: reply.BootUnixMS, PolledAt: sent, Running: reply.Running, Ended: reply.Ended,
+		Worker: c.id, BootUnixMS: reply.BootUnixMS, Token: order.Token, PolledAt: sent, Running: reply.Running, Ended: reply.Ended,
 		MoreEnds: reply.MoreEnds,
 	})
 	e.reportOutlivedRuns(t, reply.ClockMS, now)
@@ -307,13 +311,14 @@
 // scheduler takes the worker as unresponsive.
 func (e *Engine) handlePollFailure(t *term, c *workerConn, err error) {
 	c.failures++
+	t.state.PollFailed(c.id)
 	switch rcode.Of(err) {
 	case rcode.NotFound:
 		e.log.Info("worker replaced", zap.String("worker", c.id))
 		t.state.WorkerReplaced(c.id)
 		c.ackedEnd, c.ackableEnd, c.leaseExpiresMS, c.clockMS = 0, 0, 0, 0
 	case rcode.NotOwner:
-		e.log.Warn("worker rejected this owner's token", zap.String("worker", c.id), zap.Int64("token", t.Token()))
+		e.log.Warn("worker rejected this owner's token", zap.String("worker", c.id), zap.Int64("token", t.tokenOf(c.id)))
 	default:
 		if c.failures == 1 {
 			e.log.Warn("failed to poll worker", append(logs.Err(err), zap.String("worker", c.id))...)
@@ -327,7 +332,7 @@
 // sendStart has a worker start a run and passes the outcome to the scheduler.
 func (e *Engine) sendStart(t *term, st sched.Start) {
 	c := t.workers[st.Worker]
-	if c == nil || c.clockMS == 0 || !t.state.MayExtendLease(st.Worker) {
+	if c == nil || c.clockMS == 0 || c.failures > 0 || !t.state.MayExtendLease(st.Worker) {
 		t.state.StartAnswered(st.Task, st.Attempt, st.Worker, sched.OutcomeNotSent)
 		t.dirty = true
 		return
@@ -336,10 +341,10 @@
 	left := t.decidedAt.Add(maxStartDelay).Sub(now)
 	order := StartOrder{
 		Addr: c.addr, Instance: c.id, Task: st.Task.String(), Attempt: st.Attempt, Spec: st.Spec, Checkpoint: st.Checkpoint,
-		Ticket: st.Ticket, Token: t.Token(), ExpiresMS: c.workerClock(now) + left.Milliseconds(),
+		Ticket: st.Ticket, Token: t.tokenOf(c.id), ExpiresMS: c.workerClock(now) + left.Milliseconds(),
 	}
 	c.leaseExtendedAt = now
-	t.state.LeaseExtended(c.id, now.Add(e.maxLeaseOnWorker()))
+	t.state.LeaseExtended(c.id, now, now.Add(e.maxLeaseOnWorker()))
 	go func() {
 		outcome := e.tryStart(t, order)
 		e.cfg.Metrics.CountStart(string(outcome))
@@ -347,7 +352,7 @@
 			if e.term != t {
 				return
 			}
-			if outcome != sched.OutcomeStarted {
+			if outcome != sched.OutcomeStarted && outcome != sched.OutcomeStartedOnRetry {
 				e.log.Info("run not started", zap.String("task", order.Task), zap.Int("attempt", order.Attempt),
 					zap.String("worker", order.Instance), zap.String("outcome", string(outcome)))
 			}
@@ -374,11 +379,14 @@
 		})
 		cancel()
 		if err == nil && outcome != sched.OutcomeUnknown {
-			if mayHaveStarted && outcome != sched.OutcomeStarted {
-				// The worker may still execute an earlier try.
-				return sched.OutcomeUnknown
+			switch {
+			case !mayHaveStarted:
+				return outcome
+			case outcome == sched.OutcomeStarted:
+				return sched.OutcomeStartedOnRetry
+			default:
+				return sched.OutcomeUnknown // the worker may still execute an earlier try
 			}
-			return outcome
 		}
 		mayHaveStarted = true
 	}
@@ -400,7 +408,7 @@
 	}
 	e.log.Info("stopping run", zap.String("task", d.Task.String()), zap.Int("attempt", d.Attempt), zap.String("worker", d.Worker),
 		zap.String("reason", string(d.Reason)))
-	order := StopOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Token: t.Token()}
+	order := StopOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Token: t.tokenOf(c.id)}
 	go func() {
 		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
 		defer cancel()
@@ -426,7 +434,7 @@
 	if _, ok := e.cfg.Elector.Authority(); !ok {
 		return
 	}
-	order := ThrottleOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Percent: d.Percent, Token: t.Token()}
+	order := ThrottleOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Percent: d.Percent, Token: t.tokenOf(c.id)}
 	e.log.Info("throttling run", zap.String("task", order.Task), zap.Int("attempt", d.Attempt),
 		zap.String("worker", d.Worker), zap.Int("percent", d.Percent))
 	go func() {
--- a/entry/events/events.go
+++ b/entry/events/events.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	w := events.NewWriter(st, lead.TermKey, epoch, token, clk, log)
-//	key, err := w.Append(ctx, []events.Event{events.Start(task, attempt, worker, bootUnixMS)})
+//	key, revision, err := w.Append(ctx, []events.Event{events.Start(task, attempt, worker, bootUnixMS)})
 //	segments, err := events.Load(ctx, st)
 //
 // Each segment is a key of its own. It is written on the condition that the key does
@@ -37,6 +37,10 @@
 	// KindAdvice means that the advising service allowed a step on workers. Nothing depends
 	// on it; a new owner only renews the tickets for these workers.
 	KindAdvice Kind = "a"
+	// KindRestart means that a worker was found to have restarted under its id. It belongs to no
+	// task, and a new owner needs it for nothing: the owner that writes it uses the segment's
+	// revision as a fencing token. Builds that do not know the kind ignore it.
+	KindRestart Kind = "r"
 	// KindLease lists the workers whose leases the owner does not extend until a later event
 	// of this kind, which replaces it, is stored without them. It belongs to no task.
 	// Builds that do not know the kind ignore it.
@@ -69,6 +73,8 @@
 		return "advice"
 	case KindLease:
 		return "lease"
+	case KindRestart:
+		return "restart"
 	default:
 		return string(k)
 	}
@@ -98,7 +104,7 @@
 	Task    string `json:"t"`
 	Attempt int    `json:"a,omitempty"`
 	// Worker and BootUnixMS identify the incarnation of the worker that the start is
-	// sent to.
+	// sent to, or that was found to have restarted.
 	Worker     string     `json:"w,omitempty"`
 	BootUnixMS int64      `json:"b,omitempty"`
 	Outcome    RunOutcome `json:"h,omitempty"`
@@ -146,6 +152,11 @@
 // Leases returns the event that lists all workers whose leases are not extended.
 func Leases(list []Lease) Event { return Event{Kind: KindLease, Leases: list} }
 
+// Restart returns the event for a worker that restarted at bootUnixMS under its id.
+func Restart(worker string, bootUnixMS int64) Event {
+	return Event{Kind: KindRestart, Worker: worker, BootUnixMS: bootUnixMS}
+}
+
 // Cancel returns the event for a job that was cancelled.
 func Cancel(job string) Event { return Event{Kind: KindCancel, Task: job} }
 
--- a/entry/events/writer.go
+++ b/entry/events/writer.go
@@ -49,24 +49,28 @@
 	return &Writer{st: st, termKey: termKey, epoch: epoch, token: token, clk: clk, log: log}
 }
 
-// Append writes one segment and returns its key once it is stored, retrying until then.
-// It fails with rcode.NotOwner if another VM has taken over or ctx ends, and with
+// Append writes one segment and returns its key and the store's revision of it once it is
+// stored, retrying until then. The revision is higher than that of the term's key, and lower than
+// that of a later term. It fails with rcode.NotOwner if another VM has taken over or ctx ends, and with
 // rcode.Internal if the events cannot be encoded.
-func (w *Writer) Append(ctx context.Context, list []Event) (string, error) {
+func (w *Writer) Append(ctx context.Context, list []Event) (key string, revision int64, err error) {
 	raw, err := Encode(list)
 	if err != nil {
-		return "", err
+		return "", 0, err
 	}
 	w.number++
-	key := segmentKey(w.epoch, w.number)
+	key = segmentKey(w.epoch, w.number)
 	for try := 1; ctx.Err() == nil; try++ {
 		res, err := w.st.Commit(ctx, store.NewTxn().If(w.termKey, w.token).If(key, 0).Put(key, raw))
 		if err == nil {
-			if res.Succeeded() || w.isStored(ctx, key, raw) {
-				return key, nil
+			if res.Succeeded() {
+				return key, res.Revision(), nil
+			}
+			if revision, ok := w.storedAt(ctx, key, raw); ok {
+				return key, revision, nil
 			}
 			if w.isSuperseded(ctx) {
-				return key, rcode.New(rcode.NotOwner, "events.Append %s: another VM has taken over", key)
+				return key, 0, rcode.New(rcode.NotOwner, "events.Append %s: another VM has taken over", key)
 			}
 		}
 		if try == 1 || try%triesPerLogLine == 0 {
@@ -78,13 +82,13 @@
 		case <-ctx.Done():
 		}
 	}
-	return key, rcode.New(rcode.NotOwner, "events.Append %s: cancelled because the term ended", key)
+	return key, 0, rcode.New(rcode.NotOwner, "events.Append %s: cancelled because the term ended", key)
 }
 
-// isStored reports whether an earlier try stored the segment.
-func (w *Writer) isStored(ctx context.Context, key string, raw []byte) bool {
+// storedAt returns the revision at which an earlier try stored the segment, and whether one did.
+func (w *Writer) storedAt(ctx context.Context, key string, raw []byte) (int64, bool) {
 	kv, err := w.st.Get(ctx, key)
-	return err == nil && bytes.Equal(kv.Value(), raw)
+	return kv.ModRevision(), err == nil && bytes.Equal(kv.Value(), raw)
 }
 
 // isSuperseded reports whether another VM has taken over.
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -26,6 +26,7 @@
 	s.openDueOccurrences()
 	s.endExpiredRuns()
 	s.noteLeases()
+	s.fenceRestarted()
 	s.duplicateUnresponsive()
 	if s.now.Sub(s.runsCheckedAt) >= runCheckInterval {
 		s.runsCheckedAt = s.now
--- a/entry/sched/lease.go
+++ b/entry/sched/lease.go
@@ -83,17 +83,21 @@
 
 // limitAnsweredLease bounds the end of the leases of a worker that answered a poll of this owner.
 // It has seen this owner's token, so that from then on former owners extend nothing there, and
-// this owner's last extension was sent before.
+// this owner's last extension was sent before. Orders that were meant for a former incarnation of
+// the worker may have extended the lease for longer.
 func (s *State) limitAnsweredLease(w *worker) {
 	if s.cfg.MaxLease > 0 {
 		w.leaseExpiry = min(w.leaseExpiry, s.now.Add(s.cfg.MaxLease))
 	}
+	w.leaseExpiry = max(w.leaseExpiry, w.strayLeaseExpiry)
 }
 
 // MayExtendLease reports whether orders that extend the worker's lease may be sent to it. It
-// returns false from the decision to list the worker until a list without it is stored.
+// returns false from the decision to list the worker until a list without it is stored, and from
+// its restart until it has seen a raised token.
 func (s *State) MayExtendLease(id string) bool {
-	return !s.leaseNotes.stored[id] && !s.leaseNotes.writing[id]
+	pending, _ := s.FencePending(id)
+	return !pending && !s.leaseNotes.stored[id] && !s.leaseNotes.writing[id]
 }
 
 // LeasesStored records that all events returned by TakeEvents are stored. It returns the
@@ -152,7 +156,11 @@
 		if !s.isSilent(w) {
 			continue
 		}
-		left := max(0, w.leaseExpiry.Sub(s.now)).Milliseconds() + 1
+		end := w.leaseExpiry
+		for _, r := range w.runs {
+			end = max(end, s.leaseEnd(w, r))
+		}
+		left := max(0, end.Sub(s.now)).Milliseconds() + 1
 		list = append(list, events.Lease{Worker: w.spec.ID, LeftMS: left})
 		added = added || !n.stored[w.spec.ID]
 	}
--- a/entry/sched/replay.go
+++ b/entry/sched/replay.go
@@ -48,7 +48,7 @@
 		s.replayEnd(t, e)
 	case events.KindAdvice:
 		t.step.advice.restore(e.Allowed)
-	case events.KindCancel, events.KindLease:
+	case events.KindCancel, events.KindLease, events.KindRestart:
 	}
 }
 
@@ -65,7 +65,7 @@
 		w = s.addWorker(WorkerSpec{ID: e.Worker, BootUnixMS: e.BootUnixMS})
 	}
 	r := s.newRun(t, w, e.Attempt)
-	r.fromJournal, r.speedPercent = true, speedUnknown
+	r.beforeFence, r.speedPercent = true, speedUnknown
 }
 
 func (s *State) replayEnd(t *task, e events.Event) {
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -29,6 +29,8 @@
 type Report struct {
 	Worker     string
 	BootUnixMS int64
+	// Token is the fencing token of the poll.
+	Token int64
 	// PolledAt is when the poll was sent.
 	PolledAt clock.Mono
 	Running  []RunStatus
@@ -49,7 +51,8 @@
 	if r.BootUnixMS != 0 && r.BootUnixMS != w.spec.BootUnixMS {
 		s.replaceIncarnation(w, r.BootUnixMS)
 	}
-	w.unresponsive = false
+	w.pollFailed, w.unresponsive = false, false
+	s.observeFence(w, r.Token)
 	s.limitAnsweredLease(w)
 	for _, e := range r.Ended {
 		if e.Seq > w.lastSeenSeq {
@@ -90,11 +93,13 @@
 // certainlyEnded reports whether a run that is missing from a worker's complete lists has
 // certainly ended or will never begin. That is so if the poll was sent after the run was confirmed,
 // after its accepted stop took effect or after its start deadline. It is also so for a
-// run of a former owner: the worker refuses that owner's orders once it has seen this
-// owner's fencing token.
+// run that was ordered before the worker's fence: the worker refuses these orders once it has
+// seen the current token.
 func (s *State) certainlyEnded(w *worker, r *run, polledAt clock.Mono) bool {
 	switch {
-	case r.fromJournal:
+	case w.fence != fenceNone && r.listedBootMS == 0:
+		return false
+	case r.beforeFence:
 		return true
 	case r.confirmed, r.stopAccepted:
 		return polledAt > r.confirmedAt
@@ -119,9 +124,9 @@
 	if !r.confirmed {
 		r.confirmed, r.confirmedAt = true, s.now
 		r.progressedAt = s.now
-		r.partial = r.partial || r.fromJournal
+		r.partial = r.partial || r.beforeFence
 	}
-	r.fromJournal, r.listedBootMS = false, r.worker.spec.BootUnixMS
+	r.beforeFence, r.listedBootMS = false, r.worker.spec.BootUnixMS
 	r.tailLatencyMS, r.lastListedAt = item.Load, s.now
 	if r.firstListedAt == 0 {
 		r.firstProgress, r.firstListedAt = item.Percent, s.now
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -203,10 +203,14 @@
 // StartOutcome is a worker's answer to a start.
 type StartOutcome string
 
-// Answers to a start. With all but OutcomeStarted and OutcomeUnknown the run certainly
-// does not begin; with OutcomeUnknown it may.
+// Answers to a start. With all but the first two and OutcomeUnknown the run certainly does not
+// begin; with OutcomeUnknown it may.
 const (
-	OutcomeStarted      StartOutcome = "started"
+	OutcomeStarted StartOutcome = "started"
+	// OutcomeStartedOnRetry means that the worker accepted a later try of the start. Should the
+	// worker restart, an earlier one may still reach the new incarnation.
+	OutcomeStartedOnRetry StartOutcome = "started on retry"
+
 	OutcomeNoCapacity   StartOutcome = "no room"
 	OutcomeNoTicket     StartOutcome = "no ticket"
 	OutcomeExpired      StartOutcome = "late"
@@ -232,7 +236,8 @@
 		return
 	}
 	switch outcome {
-	case OutcomeStarted:
+	case OutcomeStarted, OutcomeStartedOnRetry:
+		r.triesAnswered = outcome == OutcomeStarted
 		if !r.confirmed {
 			r.confirmed, r.confirmedAt, r.progressedAt = true, s.now, s.now
 		}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -60,6 +60,9 @@
 	// MaxLease is how long a lease that is extended now may last on this VM's clock; 0 is not
 	// known.
 	MaxLease time.Duration
+	// LeaseCap is the longest lease that a worker grants, whatever an order asks for, measured on
+	// this VM's clock; 0 is not known.
+	LeaseCap time.Duration
 	// ReserveAdviser reserves a VM for a call to the advising service that takes
 	// costMS. It returns false while all VMs are busy; the first waiting step in rank
 	// order gets the next VM that becomes free.
@@ -103,12 +106,23 @@
 	usableUntil clock.Mono
 	// runsKnown is whether this owner has read the worker's own list of runs.
 	runsKnown bool
-	// unresponsive is whether the worker left the last poll unanswered.
-	unresponsive bool
+	// pollFailed is whether the worker left the last poll unanswered, unresponsive whether it
+	// left the last two unanswered.
+	pollFailed, unresponsive bool
 	// unresponsiveSince is when the worker became unresponsive under this owner.
 	unresponsiveSince clock.Mono
-	// leaseExpiry is when every lease granted to the worker has certainly expired.
-	leaseExpiry clock.Mono
+	// answered is whether the worker has answered this owner. fence, fenceToken and fenceExpiry
+	// are the state of its fencing token after a restart, see fence.go.
+	answered    bool
+	fence       fence
+	fenceToken  int64
+	fenceExpiry clock.Mono
+	// leaseExpiry is when every lease granted to the worker has certainly expired. That is not
+	// before strayLeaseExpiry, up to which an order that was meant for a former incarnation may
+	// have extended it.
+	leaseExpiry, strayLeaseExpiry clock.Mono
+	// orderedAt is when the last order that extends the lease was sent.
+	orderedAt clock.Mono
 	// formerLeaseLeft is what the former owners' last note says of the worker's leases. It is a
 	// duration because the note has no time on this VM's clock; FinishRecovery counts it from
 	// the takeover.
@@ -157,6 +171,9 @@
 	// confirmedAt is when the run was confirmed. For an unconfirmed run it is when an
 	// accepted stop has certainly taken effect.
 	confirmedAt clock.Mono
+	// triesAnswered is whether every try of the start was answered to this owner, so that none
+	// can reach a later incarnation of the worker.
+	triesAnswered bool
 	// startDeadline is the time after which the worker refuses the start.
 	startDeadline clock.Mono
 	stopping      bool
@@ -166,8 +183,10 @@
 	// partial is whether the run does only a part of the task's work, or this owner has
 	// not seen its beginning, so that it does not show how long the task takes.
 	partial bool
-	// fromJournal is whether the run is known only from the journal of a former owner.
-	fromJournal bool
+	// beforeFence is whether the start was ordered before the worker's current fence, by a
+	// former owner or for a former incarnation, and is not listed since. A worker that has
+	// answered a poll with the current token rejects it.
+	beforeFence bool
 	// listedBootMS is the boot time of the incarnation that listed the run; 0 is none.
 	listedBootMS int64
 
@@ -317,6 +336,8 @@
 	overdue   []*step
 	index     workerIndex
 	scheduled []*job // jobs with occurrences that are not due yet
+	// departed holds the workers that were removed in the last departedTTL, with the time.
+	departed map[string]clock.Mono
 	// cancelledEarly holds jobs whose cancellation was read before the job itself.
 	cancelledEarly map[string]bool
 	// wallOffset is the time on the monotonic clock at Unix time 0.
@@ -358,7 +379,7 @@
 		cfg: cfg, outOfService: make(map[string]bool), jobs: make(map[string]*job),
 		workers: make(map[string]*worker), teams: make(map[string]*team), cancelledEarly: make(map[string]bool),
 		scratch: scratch{busyQueues: make(map[string]int)}, pastUse: newPastUse(cfg.PastUseHalfLife),
-		overloadedSince: make(map[string]clock.Mono), givenUp: make(map[string][]givenUpRun),
+		overloadedSince: make(map[string]clock.Mono), givenUp: make(map[string][]givenUpRun), departed: make(map[string]clock.Mono),
 	}
 }
 
@@ -382,6 +403,7 @@
 // addWorker creates the record of a worker.
 func (s *State) addWorker(spec WorkerSpec) *worker {
 	w := &worker{spec: spec}
+	s.restoreDeparted(w)
 	s.workers[spec.ID] = w
 	s.workerList = append(s.workerList, w)
 	return w
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -51,6 +51,7 @@
 // removeIfUnused deletes the record of a delisted worker that has no runs.
 func (s *State) removeIfUnused(w *worker) {
 	if !s.isUsable(w) && len(w.runs) == 0 {
+		s.markDeparted(w)
 		delete(s.workers, w.spec.ID)
 		s.index.update(w, false)
 		s.workerList = slices.DeleteFunc(s.workerList, func(o *worker) bool { return o == w })
@@ -58,15 +59,24 @@
 }
 
 // replaceIncarnation records that a new incarnation runs under the worker's ID, so the
-// runs that the former one listed have ended. A start that was not listed yet may have
-// reached either of them; the next list shows it.
+// runs that the former one listed have ended. A start that was not listed yet, or that was tried
+// more than once, may have reached the new one, or may still reach it; the first list after the
+// fence shows it. A stop that the former incarnation accepted means nothing to the new one.
 func (s *State) replaceIncarnation(w *worker, bootUnixMS int64) {
 	for _, r := range w.runs.copy() {
-		if r.listedBootMS != 0 && r.listedBootMS != bootUnixMS {
+		if r.listedBootMS == bootUnixMS {
+			continue
+		}
+		if r.listedBootMS != 0 && r.triesAnswered {
 			s.endRun(r, events.RunLost, "")
+			continue
 		}
+		r.confirmed, r.stopAccepted, r.beforeFence, r.listedBootMS = false, false, true, 0
 	}
 	w.spec.BootUnixMS = bootUnixMS
+	if w.answered {
+		w.fence = fenceDue
+	}
 	s.resetIncarnation(w)
 }
 
@@ -91,14 +101,23 @@
 	s.removeIfUnused(w)
 }
 
-// LeaseExtended records that the worker's runs hold a lease until expiry.
-func (s *State) LeaseExtended(id string, expiry clock.Mono) {
+// LeaseExtended records that an order was sent at now that extends the lease of the worker's runs
+// until expiry.
+func (s *State) LeaseExtended(id string, now, expiry clock.Mono) {
+	if w := s.workers[id]; w != nil {
+		w.leaseExpiry, w.orderedAt = max(w.leaseExpiry, expiry), max(w.orderedAt, now)
+	}
+}
+
+// PollFailed records that a worker left a poll unanswered. It gets no new tasks until it has
+// answered, as it may have restarted.
+func (s *State) PollFailed(id string) {
 	if w := s.workers[id]; w != nil {
-		w.leaseExpiry = max(w.leaseExpiry, expiry)
+		w.pollFailed = true
 	}
 }
 
-// WorkerUnresponsive records that a worker did not answer the last poll.
+// WorkerUnresponsive records that a worker did not answer the last polls.
 func (s *State) WorkerUnresponsive(id string) {
 	if w := s.workers[id]; w != nil && !w.unresponsive {
 		w.unresponsive, w.unresponsiveSince = true, s.now
@@ -108,6 +127,7 @@
 // endExpiredRuns ends the runs of unresponsive and delisted workers whose leases have
 // all expired.
 func (s *State) endExpiredRuns() {
+	s.forgetDeparted()
 	for _, w := range slices.Clone(s.workerList) {
 		if !w.listed {
 			s.removeIfUnused(w)
@@ -117,7 +137,7 @@
 		}
 		var givenUp runSet
 		for _, r := range w.runs.copy() {
-			if s.now >= r.startDeadline {
+			if s.now >= max(r.startDeadline, s.leaseEnd(w, r)) {
 				s.endRun(r, events.RunLost, "")
 				givenUp.add(r)
 			}
