Start nothing on a worker whose entry describes another incarnation

A worker that restarts may be of another kind, with less capacity, other labels or another service.

The incarnation of the entry is kept, and a worker gets tasks only if it is the one that reports, or unknown.

--- a/entry/sched/place.go
+++ b/entry/sched/place.go
@@ -10,7 +10,7 @@
 
 // acceptsWork reports whether a worker may get new tasks of any kind.
 func (s *State) acceptsWork(w *worker) bool {
-	if !s.isReporting(w) || w.pollFailed || w.spec.Draining || s.outOfService[w.spec.DataCentre] {
+	if !s.isReporting(w) || w.pollFailed || !w.isDescribed() || w.spec.Draining || s.outOfService[w.spec.DataCentre] {
 		return false
 	}
 	return s.now >= w.suspectUntil && s.drainDeadlines[w.spec.ID] == 0 && s.MayExtendLease(w.spec.ID)
--- a/entry/sched/report_test.go
+++ b/entry/sched/report_test.go
@@ -82,6 +82,40 @@
 	}
 }
 
+// TestCapacityOfOtherIncarnation guards against starts that exceed a worker's capacity, because the
+// entry that says how much it has describes another incarnation than the one that reports.
+func TestCapacityOfOtherIncarnation(t *testing.T) {
+	t.Parallel()
+	const former, present = 1, 2
+	tests := map[string]struct {
+		entries  []int64 // incarnations of the entries that are read, in order
+		reported int64
+		want     []graph.TaskID
+	}{
+		"same incarnation":          {entries: []int64{present}, reported: present, want: []graph.TaskID{taskID(0, 0)}},
+		"entry of the former one":   {entries: []int64{former}, reported: present},
+		"entry of a later one":      {entries: []int64{present}, reported: former},
+		"former one's entry late":   {entries: []int64{present, former}, reported: present},
+		"present one's entry later": {entries: []int64{former, present}, reported: present, want: []graph.TaskID{taskID(0, 0)}},
+		"entry without incarnation": {entries: []int64{0}, reported: present, want: []graph.TaskID{taskID(0, 0)}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			s.WorkerUnresponsive("w0")
+			for _, bootMS := range tt.entries {
+				listTestWorker(s, "w1", bootMS)
+			}
+			observeFenced(s, Report{Worker: "w1", BootUnixMS: tt.reported, PolledAt: s.now})
+			s.AddJob(newJob(graph.Step{Count: 1, CPUMilli: 1000}))
+			if diff := cmp.Diff(tt.want, startsOf(s.Decide(testNow))); diff != "" {
+				t.Errorf("starts (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestCutListOfEnds guards against a run that is taken as lost, so that its task runs again,
 // because its end did not fit into the list of a worker that has many ends to report.
 func TestCutListOfEnds(t *testing.T) {
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -104,6 +104,9 @@
 	// used until usableUntil.
 	listed      bool
 	usableUntil clock.Mono
+	// entryBootMS is the incarnation that the entry in the platform's list describes; 0 is
+	// unknown. spec has that one's capacity, labels and service.
+	entryBootMS int64
 	// runsKnown is whether this owner has read the worker's own list of runs.
 	runsKnown bool
 	// pollFailed is whether the worker left the last poll unanswered, unresponsive whether it
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -17,6 +17,7 @@
 	if w == nil {
 		w = s.addWorker(WorkerSpec{ID: spec.ID})
 	}
+	w.entryBootMS = spec.BootUnixMS
 	if w.spec.BootUnixMS != 0 {
 		if spec.BootUnixMS != 0 && spec.BootUnixMS != w.spec.BootUnixMS {
 			w.runsKnown = false // until the worker's next report says which life it is in
@@ -45,6 +46,12 @@
 	s.removeIfUnused(w)
 }
 
+// isDescribed reports whether the entry in the platform's list describes the incarnation that
+// reports. Another one may have had another capacity, other labels or another service.
+func (w *worker) isDescribed() bool {
+	return w.entryBootMS == 0 || w.spec.BootUnixMS == 0 || w.entryBootMS == w.spec.BootUnixMS
+}
+
 // isUsable reports whether a worker is listed or may be listed again.
 func (s *State) isUsable(w *worker) bool { return w.listed || s.now < w.usableUntil }
 
