Forget a worker's clock when its entry shows a restart or another address

After the platform's list had shown another incarnation, or another address, the next poll still extended the lease on the former clock or acknowledged the former incarnation's ends, and a reply from the address that the worker had left set the clock of the new one. Found by reading; the raised token does not help before the restart is known.

Such an entry has the next poll neither extend nor acknowledge, and replies from a former address are not used. Without the change TestPollAfterEntryOfRestart fails in 2 of 4 cases (AckThrough 5, ExpiresMS 57000 in place of 0), TestReplyFromFormerAddress in 1 of 2.

--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -316,9 +316,9 @@
 		t.workers[id] = c
 		e.log.Info("worker listed", zap.String("worker", id), zap.String("addr", spec.Addr), zap.Bool("draining", spec.Draining))
 	}
-	if c.addr != spec.Addr {
+	if c.addr != spec.Addr || spec.BootUnixMS != 0 && c.bootUnixMS != 0 && spec.BootUnixMS != c.bootUnixMS {
 		c.addr = spec.Addr
-		c.clockMS = 0
+		c.forgetIncarnation()
 	}
 	c.listed = true
 	t.dirty = true
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -75,6 +75,12 @@
 // tokenOf returns the fencing token for orders to a worker.
 func (t *term) tokenOf(id string) int64 { return max(t.Token(), t.raisedTokens[id]) }
 
+// forgetIncarnation forgets the clock and the ended runs of the incarnation that answered last, so
+// that the next poll neither extends a lease nor acknowledges anything.
+func (c *workerConn) forgetIncarnation() {
+	c.ackedEnd, c.ackableEnd, c.leaseExpiresMS, c.clockMS = 0, 0, 0, 0
+}
+
 // workerClock returns the current time on the worker's clock.
 func (c *workerConn) workerClock(now clock.Mono) int64 {
 	return c.clockMS + now.Sub(c.clockAt).Milliseconds()
@@ -218,7 +224,8 @@
 	return release
 }
 
-// handlePollReply handles the result of a poll that was sent at sent.
+// handlePollReply handles the result of a poll that was sent at sent. A reply from an address that
+// the worker has left since says nothing about it.
 func (e *Engine) handlePollReply(t *term, c *workerConn, sent clock.Mono, order PollOrder, reply PollReply, err error) {
 	if e.term != t {
 		return
@@ -226,6 +233,10 @@
 	now := e.clk.Now()
 	c.polling, c.pollEndedAt = false, now
 	t.dirty = true
+	if order.Addr != c.addr {
+		e.poll(t, c)
+		return
+	}
 	if c.failures == 0 && c.clockMS != 0 {
 		t.replyLoss.observe(err != nil)
 	}
@@ -316,7 +327,7 @@
 	case rcode.NotFound:
 		e.log.Info("worker replaced", zap.String("worker", c.id))
 		t.state.WorkerReplaced(c.id)
-		c.ackedEnd, c.ackableEnd, c.leaseExpiresMS, c.clockMS = 0, 0, 0, 0
+		c.forgetIncarnation()
 	case rcode.NotOwner:
 		e.log.Warn("worker rejected this owner's token", zap.String("worker", c.id), zap.Int64("token", t.tokenOf(c.id)))
 	default:
