Drain workers of VMs whose maintenance a former owner started

After a change of the owner during a maintenance wave, tasks could start on a worker whose VM was then taken down, which kills all that runs there: callers lose runs, and a step can fall below its max_unavailable.

Cause: Plan.Restore marked a VM as started and gave it no drain deadline. The new owner may send no order for HolderLease + 3.3 s and did not tell the scheduler about drains in that time. It then sent the order without asking for runs, as if the former owner's order had been executed. That order may have been lost, or may still arrive.

Restore now sets a drain deadline, and the scheduler gets it when the plan is restored and on each tick. Before the platform has listed the VMs, the worker is the one that the record names (new field "workers"; earlier builds ignore it, and for their records the drain begins with the first list). The first order of a term is sent when the VM is not up, the worker is empty, or the order deadline has passed: the drain deadline, MaxStopTime and a second, so that runs stopped at the drain deadline can end before it. The order deadline keeps a wave going when the VM is back from its maintenance with runs that cannot be stopped; the platform accepts the order without effect then. Orders repeated within a term, and how a VM is recognised as done, are as before.

Test changes: TestWaveRestored keeps its case and its bounds and gets four more. TestUnstored and TestMaintenanceWave also expect the workers in the record.

Before, with the new signature of Restore and the new fields but not the logic, go test -race -count=1 ./entry/upkeep ./entry/engine:

--- FAIL: TestWaveRestored/the_order_never_arrived plan_test.go:190: m1 is ordered with runs on its worker --- FAIL: TestRestoredOrder/runs, /runs_are_being_stopped, /unknown_worker steps: - nil, + {upkeep.TakeDown{Wave: 7, VM: "m0", Worker: "w-m0"}} --- FAIL: TestRestoredDrain, 4 of 5 cases drain deadlines: - {"w-m0":}, + nil --- FAIL: TestMaintenanceTakeover, 3 of 3 cases 0 orders when the job was done, 0 starts before the first order; want at least 1 and 0

TestUnstored and TestMaintenanceWave failed there for the missing workers.

Run: go test -race -count=5 ./entry/upkeep ./entry/engine, go test -race -count=1 ./entry/sched ./platform and make lint pass. Each of these taken out or changed alone makes a test fail: the wait for an empty worker, the order deadline, its distance from the drain deadline, the order to a VM that is down, the drain at the restore, the drain on each tick, the worker from the record, the drain deadline.

--- a/entry/engine/maintenance.go
+++ b/entry/engine/maintenance.go
@@ -81,7 +81,7 @@
 // initMaintenance sets up the plan of a new term from the records of former owners.
 func (e *Engine) initMaintenance(t *term, stored []store.KV) {
 	m := &t.maintenance
-	m.plan = upkeep.NewPlan(upkeep.Config{Downtime: e.cfg.MaintenanceDuration})
+	m.plan = upkeep.NewPlan(upkeep.Config{Downtime: e.cfg.MaintenanceDuration, MaxStopTime: e.cfg.MaxStopTime})
 	m.notBefore = e.clk.Now().Add(e.cfg.HolderLease + lead.AuthorityDuration + fleetTimeout)
 	m.unrestored = make(map[int64]upkeep.Record, len(stored))
 	for _, kv := range stored {
@@ -102,11 +102,18 @@
 	for number, w := range e.requestedWaves {
 		m.plan.AddWave(w, wall+w.Deadline().Sub(now).Milliseconds())
 		if r, ok := m.unrestored[number]; ok {
-			m.plan.Restore(r, now.Add(time.Duration(r.DeadlineUnixMS-wall)*time.Millisecond))
+			m.plan.Restore(r, now.Add(time.Duration(r.DeadlineUnixMS-wall)*time.Millisecond), max(now, m.notBefore))
 			delete(m.unrestored, number)
 		}
 	}
 	m.plan.RetainWaves(func(number int64) bool { _, ok := e.requestedWaves[number]; return ok })
+	t.applyDrainDeadlines()
+}
+
+// applyDrainDeadlines has the scheduler drain the workers that the plan drains.
+func (t *term) applyDrainDeadlines() {
+	t.drainDeadlines = t.maintenance.plan.DrainDeadlines()
+	t.state.SetDrainDeadlines(t.drainDeadlines)
 }
 
 // runMaintenance advances the open waves.
@@ -120,6 +127,9 @@
 		return
 	}
 	e.refreshVMs(t)
+	// Also before notBefore: a former owner's order may still end what runs on a worker
+	// whose VM it started.
+	t.applyDrainDeadlines()
 	now := e.clk.Now()
 	if m.storing || now < m.notBefore {
 		return
@@ -128,8 +138,7 @@
 		return
 	}
 	steps := m.plan.Next(now, t.state.RunCount)
-	t.drainDeadlines = m.plan.DrainDeadlines()
-	t.state.SetDrainDeadlines(t.drainDeadlines)
+	t.applyDrainDeadlines()
 	e.executeSteps(t, steps)
 }
 
--- a/entry/engine/maintenance_test.go
+++ b/entry/engine/maintenance_test.go
@@ -17,19 +17,35 @@
 // fakeFleet has one VM, whose worker is w0. It fails the first order and accepts the
 // following ones, and reads the wave's record at each order.
 type fakeFleet struct {
-	st             store.Store
-	mu             sync.Mutex
+	st store.Store
+	// startsSent returns the number of starts that the worker received.
+	startsSent func() int
+	mu         sync.Mutex
+	// lists is the number of reads of the list; the first failedLists of them fail.
+	lists, failedLists int
+	// startsAtOrder is the number of starts that the worker received before the first
+	// order.
+	startsAtOrder  int
 	orders         []MaintainOrder
 	recordsAtOrder []upkeep.Record
 }
 
 func (f *fakeFleet) VMs(context.Context) ([]upkeep.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lists++
+	if f.lists <= f.failedLists {
+		return nil, context.DeadlineExceeded
+	}
 	return []upkeep.VM{upkeep.NewVM("m0", "w0", upkeep.StateUp)}, nil
 }
 
 func (f *fakeFleet) Maintain(ctx context.Context, o MaintainOrder) (MaintainOutcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if len(f.orders) == 0 && f.startsSent != nil {
+		f.startsAtOrder = f.startsSent()
+	}
 	f.orders = append(f.orders, o)
 	if kv, err := f.st.Get(ctx, WavePrefix+"5"); err == nil {
 		if r, err := upkeep.DecodeRecord(kv.Value()); err == nil {
@@ -43,6 +59,21 @@
 	return MaintainAccepted, nil
 }
 
+// waitForLists waits until the list has been read n times.
+func (f *fakeFleet) waitForLists(t *testing.T, n int) {
+	t.Helper()
+	lists := func() int {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.lists
+	}
+	for end := time.Now().Add(20 * time.Second); lists() < n; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("the list was read %d times, want %d", lists(), n)
+		}
+	}
+}
+
 func (f *fakeFleet) WaveStatus(wave int64, complete bool) (string, []byte) {
 	raw, _ := json.Marshal(complete)
 	return "status/" + string(rune('0'+wave)), raw
@@ -73,7 +104,7 @@
 	}
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
-	started := upkeep.Record{Number: 5, Started: []string{"m0"}}
+	started := upkeep.Record{Number: 5, Started: []string{"m0"}, Workers: map[string]string{"m0": "w0"}}
 	if diff := cmp.Diff([]upkeep.Record{started, started}, fleet.recordsAtOrder); diff != "" {
 		t.Errorf("records at the orders (-want +got):\n%s", diff)
 	}
@@ -83,3 +114,44 @@
 		t.Errorf("orders (-want +got):\n%s", diff)
 	}
 }
+
+// TestMaintenanceTakeover guards against a start on a worker whose VM the former owner may
+// have ordered down, while the new owner waits with its own order.
+func TestMaintenanceTakeover(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		record      string
+		failedLists int
+		// submitAtList is the read of the list at which the job is submitted. The result of
+		// the one before is known by then.
+		submitAtList int
+	}{
+		"the list of VMs is read later": {record: `{"wave":5,"due":0,"begun":["m0"],"workers":{"m0":"w0"}}`, failedLists: 3},
+		"the worker has a new id":       {record: `{"wave":5,"due":0,"begun":["m0"],"workers":{"m0":"w-former"}}`, submitAtList: 2},
+		"the record has no workers":     {record: `{"wave":5,"due":0,"begun":["m0"]}`, submitAtList: 2},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet := &fakeFleet{failedLists: tt.failedLists}
+			h := newHarnessWith(t, func(cfg *Config) {
+				fleet.st, cfg.Fleet = cfg.Store, fleet
+				if _, err := cfg.Store.Commit(context.Background(), store.NewTxn().Put(WavePrefix+"5", []byte(tt.record))); err != nil {
+					t.Fatal(err)
+				}
+			})
+			fleet.mu.Lock()
+			fleet.startsSent = func() int { return len(h.worker.started) }
+			fleet.mu.Unlock()
+			h.engine.SetWaves(map[int64]upkeep.Wave{5: upkeep.NewWave(5, []string{"m0"}, clock.New().Now(), 1)})
+			fleet.waitForLists(t, tt.submitAtList)
+			h.submit(t)
+			h.waitForStatus(t, func(s JobStatus) bool { return s.State.Final() })
+			fleet.mu.Lock()
+			defer fleet.mu.Unlock()
+			if len(fleet.orders) == 0 || fleet.startsAtOrder != 0 {
+				t.Errorf("%d orders when the job was done, %d starts before the first order; want at least 1 and 0", len(fleet.orders), fleet.startsAtOrder)
+			}
+		})
+	}
+}
--- a/entry/upkeep/plan.go
+++ b/entry/upkeep/plan.go
@@ -25,6 +25,8 @@
 type Config struct {
 	// Downtime is how long a VM is down for its maintenance.
 	Downtime time.Duration
+	// MaxStopTime is how long a worker may take to stop a run.
+	MaxStopTime time.Duration
 }
 
 // RunCounter returns the number of runs on a worker and whether the worker is known.
@@ -37,6 +39,13 @@
 	// drainDeadline is when the worker's remaining runs are stopped; 0 means that the
 	// worker does not drain yet.
 	drainDeadline clock.Mono
+	// orderDeadline is when the first order of this term is sent although the worker is
+	// not known to be empty. It is set only for a VM that a former owner started: its
+	// maintenance may be over, and then runs that cannot be stopped must not delay the
+	// wave.
+	orderDeadline clock.Mono
+	// worker is the worker on the VM at the last order, of this owner or a former one.
+	worker string
 	// acceptedAt is when the platform accepted the order; orderedAt is when the order
 	// was last sent.
 	acceptedAt, orderedAt clock.Mono
@@ -82,21 +91,27 @@
 }
 
 // Restore applies a stored record to its wave, which must have been added before.
-// deadline is the record's deadline on this VM's clock.
-func (p *Plan) Restore(r Record, deadline clock.Mono) {
+// deadline is the record's deadline on this VM's clock; no order is sent before
+// ordersFrom. The workers of started VMs drain from now on, because the former owner's
+// order may not have been executed yet, or never will be.
+func (p *Plan) Restore(r Record, deadline, ordersFrom clock.Mono) {
 	w := p.waves[r.Number]
 	if w == nil {
 		return
 	}
 	w.deadline, w.deadlineUnixMS, w.stored, w.complete = deadline, r.DeadlineUnixMS, true, r.Complete
-	for _, name := range r.Started {
-		if v := w.vms[name]; v != nil {
-			v.started = true
-		}
-	}
+	remaining := len(w.vms)
 	for _, name := range r.Done {
-		if v := w.vms[name]; v != nil {
+		if v := w.vms[name]; v != nil && !v.done {
 			v.started, v.done = true, true
+			remaining--
+		}
+	}
+	for _, name := range r.Started {
+		if v := w.vms[name]; v != nil && !v.done {
+			v.started, v.worker = true, r.Workers[name]
+			v.drainDeadline = ordersFrom.Add(p.drainTime(w, remaining, ordersFrom))
+			v.orderDeadline = v.drainDeadline.Add(p.cfg.MaxStopTime + slotMargin)
 		}
 	}
 }
@@ -162,20 +177,30 @@
 	var out map[string]clock.Mono
 	for _, w := range p.waves {
 		for name, v := range w.vms {
-			if w.complete || v.done || v.skipped || v.drainDeadline == 0 {
+			if w.complete || v.done || v.skipped || v.drainDeadline == 0 || v.acceptedAt != 0 {
 				continue
 			}
-			if vm, ok := p.vms[name]; ok && vm.worker != "" && v.acceptedAt == 0 {
+			if worker := p.workerOf(name, v); worker != "" {
 				if out == nil {
 					out = make(map[string]clock.Mono)
 				}
-				out[vm.worker] = v.drainDeadline
+				out[worker] = v.drainDeadline
 			}
 		}
 	}
 	return out
 }
 
+// workerOf returns the worker on a VM, or "" if there is none. Before the first list it
+// is the one that the record names, so that a worker drains also while the platform does
+// not answer.
+func (p *Plan) workerOf(name string, v *vmProgress) string {
+	if p.listRequestedAt == 0 {
+		return v.worker
+	}
+	return p.vms[name].worker
+}
+
 // Next returns the steps to execute now, in order. It returns none before the first
 // SetVMs.
 func (p *Plan) Next(now clock.Mono, runs RunCounter) []Step {
@@ -217,7 +242,7 @@
 			continue
 		}
 		changed = changed || !v.started
-		v.started, v.orderedAt = true, now
+		v.started, v.orderedAt, v.worker = true, now, vm.worker
 		takeDowns = append(takeDowns, TakeDown{Wave: w.number, VM: name, Worker: vm.worker})
 	}
 	if waiting+inProgress == 0 {
@@ -230,32 +255,41 @@
 	return takeDowns
 }
 
-// orderDue reports whether to send the VM's order now, for the first time or again.
+// orderDue reports whether to send the VM's order now, for the first time or again. A
+// former owner's order counts neither as executed nor as lost: the first order of this
+// term also waits for an empty worker, unless the VM is down already or its order
+// deadline has passed.
 func (v *vmProgress) orderDue(vm VM, now clock.Mono, runs RunCounter) bool {
 	switch {
 	case v.done, v.skipped, v.acceptedAt != 0, vm.name == "":
 		return false
-	case v.orderedAt != 0 && now.Sub(v.orderedAt) < orderRetryDelay:
-		return false
-	case v.started:
+	case v.orderedAt != 0:
+		return now.Sub(v.orderedAt) >= orderRetryDelay
+	case v.started && (vm.state != StateUp || now >= v.orderDeadline):
 		return true
-	case v.drainDeadline == 0 || vm.state != StateUp:
+	case v.drainDeadline == 0, vm.state != StateUp:
 		return false
 	}
 	n, known := runs(vm.worker)
 	return known && n == 0
 }
 
+// drainTime returns how long a worker may drain from now on. The time left until the
+// wave's deadline is divided into equal slots, in each of which maxDown of the remaining
+// VMs are maintained.
+func (p *Plan) drainTime(w *wave, remaining int, now clock.Mono) time.Duration {
+	rounds := (remaining + w.maxDown - 1) / w.maxDown
+	slotTime := w.deadline.Sub(now) / time.Duration(rounds)
+	return min(maxDrainTime, max(0, slotTime-p.cfg.Downtime-slotMargin))
+}
+
 // startDrains starts the drain of up to maxStarts workers, those with the fewest runs
-// first. The time left until the deadline is divided into equal slots, in each of which
-// maxDown of the waiting VMs are maintained.
+// first.
 func (p *Plan) startDrains(w *wave, now clock.Mono, waiting, maxStarts int, runs RunCounter) {
 	if maxStarts <= 0 || waiting == 0 {
 		return
 	}
-	rounds := (waiting + w.maxDown - 1) / w.maxDown
-	slotTime := w.deadline.Sub(now) / time.Duration(rounds)
-	drainTime := min(maxDrainTime, max(0, slotTime-p.cfg.Downtime-slotMargin))
+	drainTime := p.drainTime(w, waiting, now)
 	type candidate struct {
 		v    *vmProgress
 		name string
@@ -285,7 +319,7 @@
 		case v.done:
 			r.Done = append(r.Done, name)
 		case v.started:
-			r.Started = append(r.Started, name)
+			r.addStarted(name, v.worker)
 		}
 	}
 	return r
--- a/entry/upkeep/plan_test.go
+++ b/entry/upkeep/plan_test.go
@@ -13,6 +13,7 @@
 const (
 	testStart    = clock.Mono(100 * time.Second)
 	testDowntime = 2 * time.Second
+	testStopTime = 400 * time.Millisecond
 )
 
 // fakeFleet simulates a platform on which a VM that is ordered down is up again after
@@ -24,6 +25,8 @@
 	unlisted  map[string]bool
 	// recorded are the VMs that a stored record lists as started.
 	recorded map[string]bool
+	// unstoppable are the workers whose runs do not end at the drain deadline.
+	unstoppable map[string]bool
 }
 
 func newFakeFleet(n int) (*fakeFleet, []string) {
@@ -60,7 +63,7 @@
 	for now := testStart; now < testStart.Add(time.Minute); now = now.Add(200 * time.Millisecond) {
 		p.SetVMs(f.list(names, now), now)
 		for worker, deadline := range p.DrainDeadlines() {
-			if now >= deadline {
+			if now >= deadline && !f.unstoppable[worker] {
 				f.runs[worker] = 0
 			}
 		}
@@ -159,23 +162,122 @@
 }
 
 // TestWaveRestored guards against a new owner that exceeds the bound because it does
-// not count the VMs that its predecessor started, or that never completes the wave.
+// not count the VMs that its predecessor started, that takes down a VM with runs because
+// it relies on its predecessor's order, or that never completes the wave.
 func TestWaveRestored(t *testing.T) {
 	t.Parallel()
-	f, names := newFakeFleet(4)
-	f.takenDown["m0"], f.takenDown["m1"], f.recorded["m1"] = 1, 1, true
-	f.downUntil["m1"] = testStart.Add(testDowntime)
-	p := NewPlan(Config{Downtime: testDowntime})
-	deadline := testStart.Add(15 * time.Second)
-	p.AddWave(NewWave(7, names, deadline, 1), 0)
-	p.Restore(Record{Number: 7, Started: []string{"m1"}, Done: []string{"m0"}}, deadline)
-	maxDown, end := f.runWave(t, p, names, func(string) bool { return false })
-	if maxDown != 1 || end == 0 || end > deadline {
-		t.Errorf("%d VMs down at the same time, complete after %v", maxDown, end.Sub(testStart))
+	tests := map[string]func(f *fakeFleet){
+		"the order was executed and the VM is down": func(f *fakeFleet) {
+			f.takenDown["m1"], f.downUntil["m1"] = 1, testStart.Add(testDowntime)
+		},
+		"the order was executed and the VM is back": func(f *fakeFleet) { f.takenDown["m1"] = 1 },
+		"the VM is back and its runs cannot be stopped": func(f *fakeFleet) {
+			f.takenDown["m1"], f.unstoppable = 1, map[string]bool{"w-m1": true}
+		},
+		"the order never arrived":                         func(*fakeFleet) {},
+		"the order never arrived and the worker is empty": func(f *fakeFleet) { f.runs["w-m1"] = 0 },
+	}
+	for name, prepare := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f, names := newFakeFleet(4)
+			f.takenDown["m0"], f.recorded["m1"] = 1, true
+			prepare(f)
+			p := NewPlan(Config{Downtime: testDowntime, MaxStopTime: testStopTime})
+			deadline := testStart.Add(15 * time.Second)
+			p.AddWave(NewWave(7, names, deadline, 1), 0)
+			p.Restore(Record{Number: 7, Started: []string{"m1"}, Done: []string{"m0"}}, deadline, testStart)
+			maxDown, end := f.runWave(t, p, names, func(string) bool { return false })
+			if maxDown != 1 || end == 0 || end > deadline {
+				t.Errorf("%d VMs down at the same time, complete after %v", maxDown, end.Sub(testStart))
+			}
+			want := map[string]int{"m0": 1, "m1": 1, "m2": 1, "m3": 1}
+			if diff := cmp.Diff(want, f.takenDown); diff != "" {
+				t.Errorf("maintenances (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// restoredPlan returns a plan with a wave of m0, which the former owner started while
+// w-m0 was its worker, and of m1, which it finished. No order is sent before testStart.
+func restoredPlan(timeLeft time.Duration) *Plan {
+	p := NewPlan(Config{Downtime: testDowntime, MaxStopTime: testStopTime})
+	deadline := testStart.Add(timeLeft)
+	p.AddWave(NewWave(7, []string{"m0", "m1"}, deadline, 1), 0)
+	p.Restore(Record{
+		Number: 7, Started: []string{"m0"}, Done: []string{"m1"}, Workers: map[string]string{"m0": "w-m0"},
+	}, deadline, testStart)
+	return p
+}
+
+// TestRestoredDrain guards against new runs on a worker whose VM the former owner may
+// have ordered down: the order can still arrive, and is repeated.
+func TestRestoredDrain(t *testing.T) {
+	t.Parallel()
+	listed := func(vms ...VM) *[]VM { return &vms }
+	tests := map[string]struct {
+		timeLeft time.Duration
+		list     *[]VM // nil: not read yet
+		want     map[string]clock.Mono
+	}{
+		"before the first list": {timeLeft: time.Minute, want: map[string]clock.Mono{"w-m0": testStart.Add(maxDrainTime)}},
+		"little time is left": {
+			timeLeft: 5 * time.Second, list: listed(NewVM("m0", "w-m0", StateUp)),
+			want: map[string]clock.Mono{"w-m0": testStart.Add(5*time.Second - testDowntime - slotMargin)},
+		},
+		"no time is left": {list: listed(NewVM("m0", "w-m0", StateUp)), want: map[string]clock.Mono{"w-m0": testStart}},
+		"a new worker": {
+			timeLeft: time.Minute, list: listed(NewVM("m0", "w-new", StateUp), NewVM("m1", "w-m1", StateUp)),
+			want: map[string]clock.Mono{"w-new": testStart.Add(maxDrainTime)},
+		},
+		"the VM has left": {timeLeft: time.Minute, list: listed(NewVM("m1", "w-m1", StateUp))},
 	}
-	want := map[string]int{"m0": 1, "m1": 1, "m2": 1, "m3": 1}
-	if diff := cmp.Diff(want, f.takenDown); diff != "" {
-		t.Errorf("maintenances (-want +got):\n%s", diff)
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := restoredPlan(tt.timeLeft)
+			if tt.list != nil {
+				p.SetVMs(*tt.list, testStart)
+			}
+			if diff := cmp.Diff(tt.want, p.DrainDeadlines()); diff != "" {
+				t.Errorf("drain deadlines (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestRestoredOrder guards against a first order of a term that ends runs which could
+// have been stopped, and against one that is never sent.
+func TestRestoredOrder(t *testing.T) {
+	t.Parallel()
+	const stopped = maxDrainTime + testStopTime + slotMargin
+	tests := map[string]struct {
+		state   State
+		runs    int
+		unknown bool
+		at      time.Duration
+		want    []Step
+	}{
+		"empty worker":               {state: StateUp, want: []Step{TakeDown{Wave: 7, VM: "m0", Worker: "w-m0"}}},
+		"runs":                       {state: StateUp, runs: 1},
+		"runs are being stopped":     {state: StateUp, runs: 1, at: stopped - time.Millisecond},
+		"runs could not be stopped":  {state: StateUp, runs: 1, at: stopped, want: []Step{TakeDown{Wave: 7, VM: "m0", Worker: "w-m0"}}},
+		"unknown worker":             {state: StateUp, unknown: true},
+		"worker that stayed unknown": {state: StateUp, unknown: true, at: stopped, want: []Step{TakeDown{Wave: 7, VM: "m0", Worker: "w-m0"}}},
+		"VM is down already":         {state: StateInMaintenance, unknown: true, want: []Step{TakeDown{Wave: 7, VM: "m0", Worker: "w-m0"}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := restoredPlan(time.Minute)
+			now := testStart.Add(tt.at)
+			p.SetVMs([]VM{NewVM("m0", "w-m0", tt.state), NewVM("m1", "w-m1", StateUp)}, now)
+			got := p.Next(now, func(string) (int, bool) { return tt.runs, !tt.unknown })
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("steps (-want +got):\n%s", diff)
+			}
+		})
 	}
 }
 
@@ -190,7 +292,7 @@
 	p.Next(testStart, f.runsOn)
 	p.MarkUnstored(1)
 	steps := p.Next(testStart.Add(orderRetryDelay), f.runsOn)
-	want := []Step{StoreRecord{Record{Number: 1, Started: names}}, TakeDown{Wave: 1, VM: "m0", Worker: "w-m0"}}
+	want := []Step{StoreRecord{Record{Number: 1, Started: names, Workers: map[string]string{"m0": "w-m0"}}}, TakeDown{Wave: 1, VM: "m0", Worker: "w-m0"}}
 	if diff := cmp.Diff(want, steps); diff != "" {
 		t.Errorf("steps (-want +got):\n%s", diff)
 	}
--- a/entry/upkeep/upkeep.go
+++ b/entry/upkeep/upkeep.go
@@ -12,8 +12,9 @@
 //
 // A Plan does no I/O and is not safe for concurrent use. Before a VM is ordered down, a
 // record that lists it as started is stored. A new owner restores the records and
-// repeats the orders for the VMs listed as started; the platform accepts a repeated
-// order without effect.
+// repeats the orders for the VMs listed as started. The platform accepts a repeated order
+// without effect, but the first one may have been lost or may still arrive: the workers
+// of these VMs drain until the repeated order is accepted.
 package upkeep
 
 import (
@@ -83,10 +84,25 @@
 	// whose maintenance is over.
 	Started []string `json:"begun,omitempty"`
 	Done    []string `json:"done,omitempty"`
+	// Workers are the workers of the started VMs, by the VM's name, as the platform listed
+	// them at the last order.
+	Workers map[string]string `json:"workers,omitempty"`
 	// Complete is set once no VM of the wave is left to maintain.
 	Complete bool `json:"complete,omitempty"`
 }
 
+// addStarted adds a started VM and its worker, or "" if there is none.
+func (r *Record) addStarted(vm, worker string) {
+	r.Started = append(r.Started, vm)
+	if worker == "" {
+		return
+	}
+	if r.Workers == nil {
+		r.Workers = make(map[string]string)
+	}
+	r.Workers[vm] = worker
+}
+
 // Key returns the record's key below prefix.
 func (r Record) Key(prefix string) string { return prefix + strconv.FormatInt(r.Number, 10) }
 
