Repeat throttle orders that were lost

Callers of a service task saw it stay over its latency bound beside a filler that should have been slowed or paused, and a paused filler could stay paused. The scheduler took a speed as ordered once it had decided on it. When the order was lost, or not sent because the owner had no authority at that moment, nothing repeated it while the wanted speed stayed the same, although sendThrottle's comment says so.

The engine now tells the State when an order was not sent or not answered (ThrottleFailed), and the run's speed counts as uncertain: the worker's next report repeats the order, or orders what the latency asks for by then. A speed-up still waits for throttleInterval after the last order, so that lost orders do not add up to a jump. The flag stands beside the ordered speed, and that is not set to speedUnknown, because from there a report between the thresholds orders nothing, one near the bound pauses the filler where it would be halved, and one below orders full speed in one step. An order that was not answered may also arrive after later ones, so that its failure counts whatever was ordered since.

Operators see `throttling run` with the same `percent` again after `failed to throttle run`.

--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -435,14 +435,12 @@
 	}()
 }
 
-// sendThrottle sets the share of its speed that a filler may use. A lost order is made
-// up for after the worker's next report.
+// sendThrottle sets the share of its speed that a filler may use. A lost order is not repeated here:
+// the scheduler makes up for it after the worker's next report.
 func (e *Engine) sendThrottle(t *term, d sched.Throttle) {
 	c := t.workers[d.Worker]
-	if c == nil {
-		return
-	}
-	if _, ok := e.cfg.Elector.Authority(); !ok {
+	if _, ok := e.cfg.Elector.Authority(); c == nil || !ok {
+		t.state.ThrottleFailed(d.Task, d.Attempt, d.Worker)
 		return
 	}
 	order := ThrottleOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Percent: d.Percent, Token: t.tokenOf(c.id)}
@@ -453,6 +451,11 @@
 		defer cancel()
 		if err := e.guarded("throttle", func() error { return e.cfg.Workers.Throttle(ctx, order) }); err != nil {
 			e.log.Warn("failed to throttle run", append(logs.Err(err), zap.String("task", order.Task), zap.String("worker", order.Instance))...)
+			e.post(func() {
+				if e.term == t {
+					t.state.ThrottleFailed(d.Task, d.Attempt, d.Worker)
+				}
+			})
 		}
 	}()
 }
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -197,6 +197,9 @@
 	// throttledAt, or speedUnknown.
 	speedPercent int
 	throttledAt  clock.Mono
+	// speedUncertain is whether the order for speedPercent, or one before it that may arrive late,
+	// was not answered.
+	speedUncertain bool
 	// pausedSince is when a filler's speed was set to 0; 0 is not paused.
 	pausedSince clock.Mono
 
--- a/entry/sched/throttle.go
+++ b/entry/sched/throttle.go
@@ -1,6 +1,10 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"limpethitch.example/entry/graph"
+)
 
 // Fillers share a worker with service tasks and slow them down by amounts that differ by
 // image and change within seconds. The fillers' speed is therefore controlled by the tail
@@ -69,7 +73,8 @@
 	}
 }
 
-// throttleRun orders a new speed for a filler, or stops it if it was paused for too long.
+// throttleRun orders a new speed for a filler, or repeats a lost order, or stops the filler if it was
+// paused for too long.
 func (s *State) throttleRun(r *run, next int) {
 	if next != 0 {
 		r.pausedSince = 0
@@ -81,13 +86,24 @@
 		s.stop(r, ReasonPaused)
 		return
 	}
-	if next == r.speedPercent || s.now.Sub(r.throttledAt) < throttleInterval && next >= r.speedPercent {
+	if s.now.Sub(r.throttledAt) < throttleInterval {
+		next = min(next, r.speedPercent)
+	}
+	if next == r.speedPercent && !r.speedUncertain {
 		return
 	}
-	r.speedPercent, r.throttledAt = next, s.now
+	r.speedPercent, r.throttledAt, r.speedUncertain = next, s.now, false
 	s.emit(Throttle{Task: r.task.id(), Attempt: r.attempt, Worker: r.worker.spec.ID, Percent: next})
 }
 
+// ThrottleFailed records that a throttle order was not sent or not answered, so that the run may have
+// any speed that was ordered before. The worker's next report repeats the order.
+func (s *State) ThrottleFailed(id graph.TaskID, attempt int, workerID string) {
+	if r := s.findRun(s.workers[workerID], id, attempt); r != nil {
+		r.speedUncertain = true
+	}
+}
+
 // fillerCost returns the placement cost of a worker for a filler. Workers without service
 // tasks that have a latency bound come first, and of these the ones with the least CPU in
 // use.
