Count the longest lease for runs whose start had a try without an answer

A listed run was given up after the usual lease although an unanswered try of its start may have reached the next incarnation of its worker, which then holds the longest lease: the task could run twice, and a lease note told the next owner the short time.

leaseEnd uses the short count only if every try was answered, or the run was listed after the start's deadline.

--- a/entry/sched/fence.go
+++ b/entry/sched/fence.go
@@ -24,13 +24,15 @@
 )
 
 const (
-	// FenceTTL is how long after its write a raised token may reach the worker for the first
-	// time. It bounds the time for which orders for the former incarnation can still be executed
-	// after another VM has taken over.
+	// FenceTTL is how long after its write was answered the first answer to a raised token counts.
+	// It bounds the time for which orders for the former incarnation can still be executed after
+	// another VM has taken over.
 	FenceTTL = 5 * time.Second
 	// maxOrderTime is how long after it was sent an order may reach a worker that does not answer.
+	// It covers all tries of a start; runs wait for it.
 	maxOrderTime = 2 * time.Second
-	// departedTTL is how long an order for a worker that was removed may be under way.
+	// departedTTL is how long an order for a worker that was removed may be under way. It is longer
+	// than maxOrderTime because it costs only a raised token.
 	departedTTL = 15 * time.Second
 )
 
@@ -68,18 +70,6 @@
 	return w.fence != fenceNone, w.fence == fenceStored
 }
 
-// Fencing returns the number of workers that restarted and have not answered a poll with the raised
-// token yet.
-func (s *State) Fencing() int {
-	n := 0
-	for _, w := range s.workerList {
-		if w.fence != fenceNone {
-			n++
-		}
-	}
-	return n
-}
-
 // observeFence applies a report to the worker's fence. From the first answer to this owner, and the
 // first one with a raised token, the worker rejects all orders that were sent before. What
 // those that it executed extended lasts for the longest lease from then.
@@ -101,9 +91,11 @@
 }
 
 // leaseEnd returns when every lease that a run on the worker may hold has ended. A run that the
-// current incarnation has not listed may have been started there by an order for the former one.
+// current incarnation has not listed, or whose start had a try without an answer, may be one that an
+// order for a former incarnation begins.
 func (s *State) leaseEnd(w *worker, r *run) clock.Mono {
-	if w.orderedAt == 0 || w.fence == fenceNone && r.listedBootMS != 0 {
+	settled := r.listedBootMS != 0 && (r.triesAnswered || r.lastListedAt > r.startDeadline)
+	if w.orderedAt == 0 || w.fence == fenceNone && settled {
 		return w.leaseExpiry
 	}
 	return max(w.leaseExpiry, w.orderedAt.Add(maxOrderTime+s.cfg.LeaseCap))
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -13,6 +13,7 @@
 //	decisions := s.Decide(now)
 //	entries := s.TakeEvents() // store these before carrying out the decisions
 //	s.LeasesStored()          // once they are stored
+//	s.RestartsStored(rev)     // then too, with the revision of the write: the token of these workers
 //	s.MayExtendLease(worker)  // before each order that extends a lease
 //
 // # Recovery
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -20,10 +20,13 @@
 	w.entryBootMS = spec.BootUnixMS
 	if w.spec.BootUnixMS != 0 {
 		if spec.BootUnixMS != 0 && spec.BootUnixMS != w.spec.BootUnixMS {
-			w.runsKnown = false // until the worker's next report says which life it is in
+			w.runsKnown = false // until the worker's next report says which incarnation it is
 		}
 		spec.BootUnixMS = w.spec.BootUnixMS
 	}
+	if w.spec.Addr != "" && spec.Addr != w.spec.Addr {
+		w.runsKnown = false // the clock at the new address is not known
+	}
 	w.spec, w.listed = spec, true
 }
 
@@ -79,6 +82,7 @@
 			continue
 		}
 		r.confirmed, r.stopAccepted, r.beforeFence, r.listedBootMS = false, false, true, 0
+		r.speedPercent, r.pausedSince, r.firstListedAt = speedUnknown, 0, 0
 	}
 	w.spec.BootUnixMS = bootUnixMS
 	if w.answered {
