Do not use replies to polls from before a worker's new entry

A reply that arrived after the list had shown another incarnation set the clock and the ends of the former one again, so that the next poll extended the lease on it. And a reply for a worker that was removed meanwhile had it polled on, over a connection of its own beside that of the worker when it was listed again, whose replies can overtake each other.

A reply counts only if its poll was sent after the last such entry, over the worker's present connection. Without the two conditions TestReplyAfterNewEntry fails in 2 of 6 cases and TestReplyToRemovedWorker fails. TestReplyAfterNewEntry has the cases of TestReplyFromFormerAddress, which it replaces. TestThrottleIsRepeated puts the connection back before the report that it checks.

--- a/entry/engine/incarnation_test.go
+++ b/entry/engine/incarnation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -62,27 +63,57 @@
 	}
 }
 
-// TestReplyFromFormerAddress guards against a clock that was read at a worker's former address, which
-// would give the worker at the new one a lease of another length than the owner counts.
-func TestReplyFromFormerAddress(t *testing.T) {
+// TestReplyAfterNewEntry guards against the clock of a former incarnation, or of one at a former
+// address, that is taken from a reply which arrives after the list has shown another one. The next
+// poll would give that one a lease of another length than the owner counts.
+func TestReplyAfterNewEntry(t *testing.T) {
 	t.Parallel()
 	tests := map[string]struct {
-		polled string // address that the poll was sent to
-		want   int64
+		entry sched.WorkerSpec
+		// sentBefore is whether the poll was sent before the entry was read.
+		sentBefore bool
+		want       int64
 	}{
-		"same address":   {polled: "new", want: 90_000},
-		"former address": {polled: "w0"},
+		"same incarnation":                 {entry: sched.WorkerSpec{Addr: "w0", BootUnixMS: 1}, sentBefore: true, want: 90_000},
+		"another address":                  {entry: sched.WorkerSpec{Addr: "new", BootUnixMS: 1}, sentBefore: true},
+		"another address, sent after":      {entry: sched.WorkerSpec{Addr: "new", BootUnixMS: 1}, want: 90_000},
+		"another incarnation":              {entry: sched.WorkerSpec{Addr: "w0", BootUnixMS: 2}, sentBefore: true},
+		"another incarnation, sent after":  {entry: sched.WorkerSpec{Addr: "w0", BootUnixMS: 2}, want: 90_000},
+		"entry that says nothing about it": {entry: sched.WorkerSpec{Addr: "w0"}, sentBefore: true, want: 90_000},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newRestartTerm(t)
 			r.reply(PollReply{ClockMS: 50_000, BootUnixMS: 1})
-			r.list(sched.WorkerSpec{Addr: "new", BootUnixMS: 1})
-			r.engine.handlePollReply(r.term, r.conn, r.clk.Now(), PollOrder{Addr: tt.polled}, PollReply{ClockMS: 90_000, BootUnixMS: 1}, nil)
+			sent := r.clk.Now()
+			r.clk.Advance(time.Second)
+			r.list(tt.entry)
+			r.clk.Advance(time.Second)
+			if !tt.sentBefore {
+				sent = r.clk.Now()
+			}
+			r.engine.handlePollReply(r.term, r.conn, sent, PollOrder{}, PollReply{ClockMS: 90_000, BootUnixMS: 1}, nil)
 			if diff := cmp.Diff(tt.want, r.conn.clockMS); diff != "" {
 				t.Errorf("clock in ms, 0 if unknown (-want +got):\n%s", diff)
 			}
 		})
 	}
 }
+
+// TestReplyToRemovedWorker guards against polls of a worker that was removed: if it is listed again,
+// replies to two connections would overtake each other.
+func TestReplyToRemovedWorker(t *testing.T) {
+	t.Parallel()
+	r := newRestartTerm(t)
+	r.reply(PollReply{ClockMS: 50_000, BootUnixMS: 1})
+	delete(r.term.workers, "w0")
+	r.term.ready = true
+	r.reply(PollReply{ClockMS: 90_000, BootUnixMS: 1})
+	if diff := cmp.Diff(int64(50_000), r.conn.clockMS); diff != "" {
+		t.Errorf("clock in ms (-want +got):\n%s", diff)
+	}
+	if r.conn.polling {
+		t.Error("the removed worker is polled again")
+	}
+}
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -318,7 +318,7 @@
 	}
 	if c.addr != spec.Addr || spec.BootUnixMS != 0 && c.bootUnixMS != 0 && spec.BootUnixMS != c.bootUnixMS {
 		c.addr = spec.Addr
-		c.forgetIncarnation()
+		c.forgetIncarnation(e.clk.Now())
 	}
 	c.listed = true
 	t.dirty = true
--- a/entry/engine/throttle_test.go
+++ b/entry/engine/throttle_test.go
@@ -114,7 +114,7 @@
 			if tt.err != nil {
 				r.handlePost()
 			}
-			r.engine.term = r.term
+			r.engine.term, r.term.workers["w0"] = r.term, r.conn
 			if diff := cmp.Diff(tt.want, r.overBound()); diff != "" {
 				t.Errorf("orders after the next report (-want +got):\n%s", diff)
 			}
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -28,7 +28,9 @@
 	leaseExtendedAt clock.Mono
 	polling         bool // a poll is in flight
 	pollEndedAt     clock.Mono
-	failures        int // failed polls in a row
+	// forgottenAt is when the list last showed another incarnation or address.
+	forgottenAt clock.Mono
+	failures    int // failed polls in a row
 	// ackedEnd is the number of the last ended run that polls acknowledge. ackableEnd is
 	// the last one reported; it may be acknowledged once round ackableRound is stored.
 	ackedEnd, ackableEnd int64
@@ -77,8 +79,9 @@
 
 // forgetIncarnation forgets the clock and the ended runs of the incarnation that answered last, so
 // that the next poll neither extends a lease nor acknowledges anything.
-func (c *workerConn) forgetIncarnation() {
+func (c *workerConn) forgetIncarnation(now clock.Mono) {
 	c.ackedEnd, c.ackableEnd, c.leaseExpiresMS, c.clockMS = 0, 0, 0, 0
+	c.forgottenAt = now
 }
 
 // workerClock returns the current time on the worker's clock.
@@ -224,16 +227,16 @@
 	return release
 }
 
-// handlePollReply handles the result of a poll that was sent at sent. A reply from an address that
-// the worker has left since says nothing about it.
+// handlePollReply handles the result of a poll that was sent at sent. A reply to a poll that was sent
+// before the list showed another incarnation or address may come from the former one.
 func (e *Engine) handlePollReply(t *term, c *workerConn, sent clock.Mono, order PollOrder, reply PollReply, err error) {
-	if e.term != t {
+	if e.term != t || t.workers[c.id] != c {
 		return
 	}
 	now := e.clk.Now()
 	c.polling, c.pollEndedAt = false, now
 	t.dirty = true
-	if order.Addr != c.addr {
+	if sent <= c.forgottenAt {
 		e.poll(t, c)
 		return
 	}
@@ -327,7 +330,7 @@
 	case rcode.NotFound:
 		e.log.Info("worker replaced", zap.String("worker", c.id))
 		t.state.WorkerReplaced(c.id)
-		c.forgetIncarnation()
+		c.forgetIncarnation(e.clk.Now())
 	case rcode.NotOwner:
 		e.log.Warn("worker rejected this owner's token", zap.String("worker", c.id), zap.Int64("token", t.tokenOf(c.id)))
 	default:
