--- a/review/world/main.go
+++ b/review/world/main.go
@@ -21,6 +21,7 @@
 // cases are the cases by name. Each returns whether the rule was broken and why.
 var cases = map[string]func(*world) (verdict, string){
 	"transaction": transactionCase,
+	"late":        lateCase,
 	"gang":        gangCase,
 	"trial":       trialCase,
 	"connections": connectionsCase,
--- a/review/world/minion.go
+++ b/review/world/minion.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -63,7 +64,14 @@
 	// unhealthy is whether starts are answered with 503.
 	unhealthy atomic.Bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// runsOf has the runs of all minions, by task.
+	runsOf *runsOf
+	srv    *http.Server
+	// publicAddr is the address that the entry names, if another one than the minion's own.
+	publicAddr string
+
+	dead     bool // crashed
 	token    int64
 	expires  int64 // of the lease, on the minion's clock
 	running  map[string]*taskRun
@@ -83,9 +91,9 @@
 	stopped bool
 }
 
-func newMinion(rec *record, id, zone, service string, cpu, memMB int, labels []string) *minion {
+func newMinion(rec *record, runs *runsOf, id, zone, service string, cpu, memMB int, labels []string) *minion {
 	return &minion{
-		id: id, zone: zone, service: service, cpu: cpu, memMB: memMB, labels: labels, rec: rec,
+		id: id, zone: zone, service: service, cpu: cpu, memMB: memMB, labels: labels, rec: rec, runsOf: runs,
 		born: time.Now().UnixMilli(), started: time.Now(), maxConns: 64, idleTimeout: 60 * time.Second,
 		running: make(map[string]*taskRun), highest: make(map[string]int), wake: make(chan struct{}), callers: make(map[int64]bool),
 	}
@@ -140,18 +148,39 @@
 		w.Header().Set("Limpethitch-Instance-Id", m.id)
 		w.WriteHeader(200)
 	})
-	srv := &http.Server{Handler: mux, IdleTimeout: m.idleTimeout}
-	go func() { _ = srv.Serve(limitedListener{l, m}) }()
+	m.srv = &http.Server{Handler: mux, IdleTimeout: m.idleTimeout}
+	go func() { _ = m.srv.Serve(limitedListener{l, m}) }()
 	go m.watchLease()
 	m.report(st)
 	go func() {
 		for range time.Tick(heartbeat) {
+			if m.isDead() {
+				return
+			}
 			m.report(st)
 		}
 	}()
 	return nil
 }
 
+func (m *minion) isDead() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.dead
+}
+
+// crash ends the minion and all that runs on it.
+func (m *minion) crash() {
+	m.mu.Lock()
+	m.dead = true
+	for task := range m.running {
+		m.runsOf.end(task, m.id)
+	}
+	m.running = make(map[string]*taskRun)
+	m.mu.Unlock()
+	_ = m.srv.Close()
+}
+
 // report writes the minion's entry to the store.
 func (m *minion) report(st *store) {
 	m.mu.Lock()
@@ -159,7 +188,7 @@
 	seq := m.sequence
 	m.mu.Unlock()
 	st.put(map[string]any{"servers/" + m.id: map[string]any{
-		"service": m.service, "address": m.addr, "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
+		"service": m.service, "address": cmp.Or(m.publicAddr, m.addr), "zone": m.zone, "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0,
 		"capacity": map[string]int{"cpu": m.cpu, "mem_mb": m.memMB, "gpu": 0}, "labels": m.labels, "clock_ms": m.clock(), "sequence": seq, "born": m.born,
 	}})
 }
@@ -243,6 +272,7 @@
 	m.running[o.Task] = run
 	m.starts = append(m.starts, start{o.Task, time.Now()})
 	m.rec.printf("minion %s (%s) starts %s attempt %d, token %d", m.id, m.zone, o.Task, o.Attempt, o.Token)
+	m.runsOf.start(o.Task, m.id)
 	if !b.Lasts {
 		how := "done"
 		if b.Fails {
@@ -262,6 +292,7 @@
 		return
 	}
 	delete(m.running, task)
+	m.runsOf.end(task, m.id)
 	m.highest[task] = max(m.highest[task], attempt)
 	m.lastSeq++
 	m.ends = append(m.ends, end{m.lastSeq, task, attempt, how})
@@ -393,6 +424,31 @@
 	return n
 }
 
+// runsOf has the minions on which each task runs.
+type runsOf struct {
+	rec *record
+
+	mu   sync.Mutex
+	on   map[string][]string
+	both []string // what ran twice at the same time
+}
+
+func (r *runsOf) start(task, minion string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, other := range r.on[task] {
+		r.rec.printf("%s runs on %s and on %s", task, other, minion)
+		r.both = append(r.both, fmt.Sprintf("%s ran on %s and on %s at the same time", task, other, minion))
+	}
+	r.on[task] = append(r.on[task], minion)
+}
+
+func (r *runsOf) end(task, minion string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.on[task] = slices.DeleteFunc(r.on[task], func(m string) bool { return m == minion })
+}
+
 func minionID(i int) string { return "i-" + strconv.Itoa(1000+i) }
 
 func rackLabel(i int) string { return fmt.Sprintf("r1-%d", i/4) }
--- a/review/world/world.go
+++ b/review/world/world.go
@@ -47,6 +47,7 @@
 	dir     string
 	trouble bool
 	zones   []string
+	runsOf  *runsOf
 	minions []*minion
 	nodes   []*node
 	version int
@@ -72,7 +73,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return &world{rec: rec, store: newStore(), program: program, dir: dir, trouble: trouble, zones: []string{zoneA, zoneB, zoneC}}, nil
+	return &world{
+		rec: rec, store: newStore(), program: program, dir: dir, trouble: trouble, zones: []string{zoneA, zoneB, zoneC},
+		runsOf: &runsOf{rec: rec, on: make(map[string][]string)},
+	}, nil
 }
 
 // listen serves a handler on a free loopback port.
@@ -98,7 +102,7 @@
 // addMinions adds n minions of about 32 cores and 64 GB, spread over the zones.
 func (w *world) addMinions(n int, labels func(i int) []string) error {
 	for i := range n {
-		m := newMinion(w.rec, minionID(i), w.zones[i%len(w.zones)], service, 32000, 65536, append([]string{"a", rackLabel(i)}, labels(i)...))
+		m := newMinion(w.rec, w.runsOf, minionID(i), w.zones[i%len(w.zones)], service, 32000, 65536, append([]string{"a", rackLabel(i)}, labels(i)...))
 		if err := m.serve("127.0.0.1", w.store); err != nil {
 			return err
 		}
