Bound an owner's connections to each worker, and close them after its term

Cause: a worker accepts 64 connections. Every start, stop and throttle order was a call of its own, so that a job with many tasks opened up to 24 connections to a worker. A former owner kept them for ten minutes; one that was lost with its VM never closes them. Three owners used up all of them.

Change: orders for a worker wait in a queue of the loop. One is in flight, two while more than three wait, besides one poll: at most three connections. The connections are closed when the term ends, and when a worker is removed.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -289,6 +289,10 @@
 	e.storeLastPastUse(e.term)
 	e.term.cancel()
 	e.term.releaseEndWaits()
+	// A worker accepts a limited number of connections. The next owner needs some.
+	for _, c := range e.term.workers {
+		e.cfg.Workers.Release(c.addr)
+	}
 	e.term = nil
 	e.cfg.Metrics.SetOwner(false, 0, [3]int{})
 	e.cfg.Metrics.SetWorkersWithoutLease(0)
--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -79,6 +79,8 @@
 
 func (w *fakeWorker) Throttle(context.Context, ThrottleOrder) error { return nil }
 
+func (w *fakeWorker) Release(string) {}
+
 func (w *fakeWorker) Poll(ctx context.Context, o PollOrder) (PollReply, error) {
 	select {
 	case w.polled <- o:
--- a/entry/engine/ports.go
+++ b/entry/engine/ports.go
@@ -71,6 +71,9 @@
 	Stop(ctx context.Context, o StopOrder) error
 	Throttle(ctx context.Context, o ThrottleOrder) error
 	Poll(ctx context.Context, o PollOrder) (PollReply, error)
+	// Release closes the connections to the worker at an address, those in use once their calls
+	// have ended. A later call opens new ones.
+	Release(addr string)
 }
 
 // Adviser calls the advising service from this VM. valid is how long the tickets may
--- a/entry/engine/restartlog_test.go
+++ b/entry/engine/restartlog_test.go
@@ -32,6 +32,8 @@
 	return PollReply{}, errors.New("no answer")
 }
 
+func (silentWorkers) Release(string) {}
+
 // restartTerm is a term on a fake clock with a job of one task and one worker, w0. The test takes
 // the place of the loop and gives the worker's answers; those to sent orders are not handled.
 type restartTerm struct {
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -35,6 +35,7 @@
 	// the last one reported; it may be acknowledged once round ackableRound is stored.
 	ackedEnd, ackableEnd int64
 	ackableRound         int64
+	orders               orderQueue
 }
 
 const (
@@ -64,16 +65,8 @@
 	// immediatePollSlot is how long such a poll counts towards the bound. Workers behind
 	// a network partition do not reply and must not delay the polls of the others.
 	immediatePollSlot = 120 * time.Millisecond
-
-	// stopTimeout bounds a stop or throttle order.
-	stopTimeout = 500 * time.Millisecond
 )
 
-// startTimeouts bound the tries of a start order. The first is short, because a worker that
-// can be reached answers within milliseconds, and the next try over another connection finds
-// out whether only the reply was lost.
-var startTimeouts = []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond}
-
 // tokenOf returns the fencing token for orders to a worker.
 func (t *term) tokenOf(id string) int64 { return max(t.Token(), t.raisedTokens[id]) }
 
@@ -116,6 +109,7 @@
 	for id, c := range t.workers {
 		if !c.listed && !t.state.HasWorker(id) {
 			delete(t.workers, id)
+			e.cfg.Workers.Release(c.addr)
 			continue
 		}
 		e.poll(t, c)
@@ -342,123 +336,3 @@
 		t.state.WorkerUnresponsive(c.id)
 	}
 }
-
-// sendStart has a worker start a run and passes the outcome to the scheduler.
-func (e *Engine) sendStart(t *term, st sched.Start) {
-	c := t.workers[st.Worker]
-	if c == nil || c.clockMS == 0 || c.failures > 0 || !t.state.MayExtendLease(st.Worker) {
-		t.state.StartAnswered(st.Task, st.Attempt, st.Worker, sched.OutcomeNotSent)
-		t.dirty = true
-		return
-	}
-	now := e.clk.Now()
-	left := t.decidedAt.Add(maxStartDelay).Sub(now)
-	order := StartOrder{
-		Addr: c.addr, Instance: c.id, Task: st.Task.String(), Attempt: st.Attempt, Spec: st.Spec, Checkpoint: st.Checkpoint,
-		Ticket: st.Ticket, Token: t.tokenOf(c.id), ExpiresMS: c.workerClock(now) + left.Milliseconds(),
-	}
-	c.leaseExtendedAt = now
-	t.state.LeaseExtended(c.id, now, now.Add(e.maxLeaseOnWorker()))
-	go func() {
-		outcome := e.tryStart(t, order)
-		e.cfg.Metrics.CountStart(string(outcome))
-		e.post(func() {
-			if e.term != t {
-				return
-			}
-			if outcome != sched.OutcomeStarted && outcome != sched.OutcomeStartedOnRetry {
-				e.log.Info("run not started", zap.String("task", order.Task), zap.Int("attempt", order.Attempt),
-					zap.String("worker", order.Instance), zap.String("outcome", string(outcome)))
-			}
-			t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
-			t.state.StartAnswered(st.Task, st.Attempt, st.Worker, outcome)
-			t.dirty = true
-		})
-	}()
-}
-
-// tryStart sends a start order. It repeats the same order after an error or an unknown
-// outcome. The result is OutcomeUnknown if any try may still take effect.
-func (e *Engine) tryStart(t *term, order StartOrder) sched.StartOutcome {
-	mayHaveStarted := false
-	for _, timeout := range startTimeouts {
-		if _, ok := e.cfg.Elector.Authority(); !ok {
-			break
-		}
-		ctx, cancel := context.WithTimeout(t.ctx, timeout)
-		var outcome sched.StartOutcome
-		err := e.guarded("start", func() (err error) {
-			outcome, err = e.cfg.Workers.Start(ctx, order)
-			return err
-		})
-		cancel()
-		if err == nil && outcome != sched.OutcomeUnknown {
-			switch {
-			case !mayHaveStarted:
-				return outcome
-			case outcome == sched.OutcomeStarted:
-				return sched.OutcomeStartedOnRetry
-			default:
-				return sched.OutcomeUnknown // the worker may still execute an earlier try
-			}
-		}
-		mayHaveStarted = true
-	}
-	if !mayHaveStarted {
-		return sched.OutcomeNotSent
-	}
-	return sched.OutcomeUnknown
-}
-
-// sendStop has a worker stop a run. A lost order is not repeated here: the scheduler
-// decides on the stop again.
-func (e *Engine) sendStop(t *term, d sched.Stop) {
-	c := t.workers[d.Worker]
-	if c == nil {
-		return
-	}
-	if _, ok := e.cfg.Elector.Authority(); !ok {
-		return
-	}
-	e.log.Info("stopping run", zap.String("task", d.Task.String()), zap.Int("attempt", d.Attempt), zap.String("worker", d.Worker),
-		zap.String("reason", string(d.Reason)))
-	order := StopOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Token: t.tokenOf(c.id)}
-	go func() {
-		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
-		defer cancel()
-		if err := e.guarded("stop", func() error { return e.cfg.Workers.Stop(ctx, order) }); err != nil {
-			return
-		}
-		e.post(func() {
-			if e.term == t {
-				t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
-				t.state.StopAccepted(d.Task, d.Attempt, d.Worker)
-			}
-		})
-	}()
-}
-
-// sendThrottle sets the share of its speed that a filler may use. A lost order is not repeated here:
-// the scheduler makes up for it after the worker's next report.
-func (e *Engine) sendThrottle(t *term, d sched.Throttle) {
-	c := t.workers[d.Worker]
-	if _, ok := e.cfg.Elector.Authority(); c == nil || !ok {
-		t.state.ThrottleFailed(d.Task, d.Attempt, d.Worker)
-		return
-	}
-	order := ThrottleOrder{Addr: c.addr, Instance: c.id, Task: d.Task.String(), Attempt: d.Attempt, Percent: d.Percent, Token: t.tokenOf(c.id)}
-	e.log.Info("throttling run", zap.String("task", order.Task), zap.Int("attempt", d.Attempt),
-		zap.String("worker", d.Worker), zap.Int("percent", d.Percent))
-	go func() {
-		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
-		defer cancel()
-		if err := e.guarded("throttle", func() error { return e.cfg.Workers.Throttle(ctx, order) }); err != nil {
-			e.log.Warn("failed to throttle run", append(logs.Err(err), zap.String("task", order.Task), zap.String("worker", order.Instance))...)
-			e.post(func() {
-				if e.term == t {
-					t.state.ThrottleFailed(d.Task, d.Attempt, d.Worker)
-				}
-			})
-		}
-	}()
-}
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -220,7 +220,8 @@
 	OutcomeFenced       StartOutcome = "fenced"
 	OutcomeUnhealthy    StartOutcome = "unhealthy"
 	OutcomeRejected     StartOutcome = "rejected"
-	// OutcomeUnreachable means that no connection to the worker could be made.
+	// OutcomeUnreachable means that no connection to the worker could be made, or that it left
+	// earlier orders unanswered until this one was too old to be sent.
 	OutcomeUnreachable StartOutcome = "unreached"
 	// OutcomeNotSent means that the owner did not send the start.
 	OutcomeNotSent StartOutcome = "withdrawn"
