Repeat unanswered starts on their worker before the task goes elsewhere

Cause: a start without an answer counted as without effect once its deadline was over on the clock of the incarnation that it was meant for, once that incarnation had accepted a stop, or at a takeover. A later incarnation has another clock and has seen no token, and the token can only be raised after the restart was seen.

Change: while a try may still be executed (15 s) the task is not started on another worker. The start is repeated on the same one as the same attempt, three times at most, which has no effect if the run is there. Starts with a ticket are exempt, since a ticket is valid for one incarnation only, and so are steps that allow copies. departedTTL, the same time, becomes maxOrderDelay.

Why it works: a worker has one incarnation at a time, and one attempt runs there once. Whichever of the orders is executed, the run is on that worker and in its lists.

Tests changed: the model no longer leaves out starts whose run was given up, only those whose run had ended (it is stricter). TestAdviceAfterTakeover cancels the job before the workers report, as a new owner does: its runs, which no worker lists, now wait for a repeated start. What it checks is unchanged.

--- a/entry/engine/order.go
+++ b/entry/engine/order.go
@@ -119,6 +119,9 @@
 		e.answerStart(t, st, sched.OutcomeNotSent)
 		return
 	}
+	if st.Repeated {
+		e.log.Info("repeating start", zap.String("task", st.Task.String()), zap.Int("attempt", st.Attempt), zap.String("worker", st.Worker))
+	}
 	expiresAt := t.decidedAt.Add(maxStartDelay)
 	c.orders.starts = append(c.orders.starts, order{
 		sendBy:  t.decidedAt.Add(maxStartDelay / 2),
--- a/entry/sched/advice_test.go
+++ b/entry/sched/advice_test.go
@@ -121,10 +121,10 @@
 			s.Decide(testNow)
 			s.AdviceReceived(testJob+".0.0", []string{"w0", "w1", "w2", "w3"}, []Ticket{{Worker: "w1", Value: "t"}, {Worker: "w2", Value: "t"}}, testNow.Add(time.Second), true)
 			next := restart(s)
+			next.Cancel(full.ID)
 			for i := 1; i < 4; i++ {
 				addTestWorker(next, fmt.Sprintf("w%d", i), 1)
 			}
-			next.Cancel(full.ID)
 			var renewal []bool
 			var asked []string
 			for _, d := range next.Decide(testNow.Add(5 * time.Second)) {
--- a/entry/sched/decide.go
+++ b/entry/sched/decide.go
@@ -37,6 +37,7 @@
 	s.drainWorkers()
 	s.refreshPastUse()
 	s.placeWaiting()
+	s.repeatStarts()
 	return s.TakeDecisions()
 }
 
--- a/entry/sched/decision.go
+++ b/entry/sched/decision.go
@@ -15,6 +15,8 @@
 	Spec       string
 	Checkpoint string
 	Ticket     string
+	// Repeated is whether the worker may have received the order before.
+	Repeated bool
 }
 
 // Reason says why a run is stopped or has ended.
--- a/entry/sched/fence.go
+++ b/entry/sched/fence.go
@@ -31,9 +31,6 @@
 	// maxOrderTime is how long after it was sent an order may reach a worker that does not answer.
 	// It covers all tries of a start; runs wait for it.
 	maxOrderTime = 2 * time.Second
-	// departedTTL is how long an order for a worker that was removed may be under way. It is longer
-	// than maxOrderTime because it costs only a raised token.
-	departedTTL = 15 * time.Second
 )
 
 // fenceRestarted records the restarts for which no token was raised yet.
@@ -120,7 +117,7 @@
 // forgetDeparted forgets the removed workers that no order can reach any more.
 func (s *State) forgetDeparted() {
 	for id, at := range s.departed {
-		if s.now.Sub(at) >= departedTTL {
+		if s.now.Sub(at) >= maxOrderDelay {
 			delete(s.departed, id)
 		}
 	}
--- a/entry/sched/fence_test.go
+++ b/entry/sched/fence_test.go
@@ -45,7 +45,7 @@
 		"restarts again, raised again":     {steps: []func(*State){list, report(3, 1), round, report(2, 1), stored(token), round, stored(token + 1), report(2, token+1)}, want: starts},
 		"removed, listed again":            {steps: []func(*State){remove, relist, report(1, 1)}},
 		"removed, listed again, raised":    {steps: []func(*State){remove, relist, report(1, 1), round, stored(token), report(1, token)}, want: starts},
-		"removed, listed again much later": {steps: []func(*State){remove, wait(departedTTL), func(s *State) { s.forgetDeparted() }, relist, report(1, 1)}, want: starts},
+		"removed, listed again much later": {steps: []func(*State){remove, wait(maxOrderDelay), func(s *State) { s.forgetDeparted() }, relist, report(1, 1)}, want: starts},
 		"poll failed":                      {steps: []func(*State){failed}},
 		"poll failed, answers":             {steps: []func(*State){failed, report(1, 1)}, want: starts},
 	}
--- a/entry/sched/model_test.go
+++ b/entry/sched/model_test.go
@@ -574,7 +574,7 @@
 	meantFor, sent := m.owner.conn(w.id).bootMS, &sentStart{modelStart: order, worker: w.id, sentAt: m.now}
 	m.sentStarts = append(m.sentStarts, sent)
 	execute := func() StartOutcome {
-		if sent.givenUp && w.bootMS != meantFor {
+		if sent.ended && w.bootMS != meantFor {
 			return OutcomeUnknown
 		}
 		return m.start(w, order)
@@ -643,8 +643,8 @@
 	}
 	m.sentStarts = slices.DeleteFunc(m.sentStarts, func(o *sentStart) bool { return m.now.Sub(o.sentAt) > modelMaxLate })
 	for _, o := range m.sentStarts {
-		if o.worker == w.id && !m.owner.hasRun(o) {
-			o.givenUp = true
+		if o.worker == w.id && w.endedAttempts[o.task] >= o.attempt {
+			o.ended = true
 		}
 	}
 	w.formerBootMS = w.bootMS
--- a/entry/sched/modelworker_test.go
+++ b/entry/sched/modelworker_test.go
@@ -18,9 +18,9 @@
 	// that an expiry on the clock of one is always beyond the cap on the clock of the next.
 	modelUptime = 50 * time.Second
 	// modelMaxLate is how late an order is executed at most by a later incarnation than the one
-	// it was meant for, from its sending. No owner can prevent a start that a later incarnation
-	// executes after the owner has given the run up, because nothing there rejects it. For the same
-	// reason later incarnations never execute a start whose run was given up before the crash.
+	// it was meant for, from its sending. No owner can prevent that a start is executed once more
+	// after its run has ended, because nothing in a later incarnation rejects it. So later
+	// incarnations never execute a start whose run had ended in the former one.
 	modelMaxLate = 2 * time.Second
 	// modelPollTimeout is how long the owner waits for the reply to a poll, modelStartTimeout for
 	// the answers to all tries of a start.
@@ -51,6 +51,7 @@
 	sorted           []graph.TaskID       // keys of runs in start order
 	maxBarredAttempt map[graph.TaskID]int // highest attempt stopped or ended
 	ended            []RunEnd
+	endedAttempts    map[graph.TaskID]int // highest attempt of which a run has ended
 	lastSeq          int64
 	// leaseExpiry is when the lease of all runs expires, on the incarnation's clock.
 	leaseExpiry time.Duration
@@ -59,7 +60,7 @@
 func newIncarnation(bootMS int64, bornAt clock.Mono, clockRate float64) *incarnation {
 	return &incarnation{
 		bootMS: bootMS, bornAt: bornAt, clockRate: clockRate,
-		runs: make(map[graph.TaskID]*modelRun), maxBarredAttempt: make(map[graph.TaskID]int),
+		runs: make(map[graph.TaskID]*modelRun), maxBarredAttempt: make(map[graph.TaskID]int), endedAttempts: make(map[graph.TaskID]int),
 	}
 }
 
@@ -75,6 +76,7 @@
 
 func (w *incarnation) end(r *modelRun, outcome events.RunOutcome) {
 	w.lastSeq++
+	w.endedAttempts[r.task] = max(w.endedAttempts[r.task], r.attempt)
 	w.maxBarredAttempt[r.task] = max(w.maxBarredAttempt[r.task], r.attempt)
 	w.ended = append(w.ended, RunEnd{Seq: w.lastSeq, Task: r.task, Attempt: r.attempt, Outcome: outcome})
 	delete(w.runs, r.task)
@@ -198,14 +200,8 @@
 	modelStart
 	worker string
 	sentAt clock.Mono
-	// givenUp is whether the owner had given the run up when the worker crashed.
-	givenUp bool
-}
-
-// hasRun reports whether the owner takes the run of a start as begun, or as one that may begin.
-func (o *modelOwner) hasRun(st *sentStart) bool {
-	w := o.state.workers[st.worker]
-	return w != nil && o.state.findRun(w, st.task, st.attempt) != nil
+	// ended is whether the run had ended when the worker crashed.
+	ended bool
 }
 
 // newStart returns a start order and records the extension of the worker's lease. ok is false if
--- a/entry/sched/place.go
+++ b/entry/sched/place.go
@@ -168,6 +168,7 @@
 // start records and emits the start of a task on a worker.
 func (s *State) start(t *task, w *worker, attempt int) {
 	r := s.newRun(t, w, attempt)
+	r.awaitsAnswer, r.ticketed = true, t.step.advice.ticket(w) != ""
 	s.record(events.Start(t.id(), attempt, w.spec.ID, w.spec.BootUnixMS))
 	s.emit(Start{
 		Task: t.id(), Attempt: attempt, Worker: w.spec.ID, Addr: w.spec.Addr, Spec: t.step.job.doc.Spec,
--- a/entry/sched/replay.go
+++ b/entry/sched/replay.go
@@ -65,7 +65,7 @@
 		w = s.addWorker(WorkerSpec{ID: e.Worker, BootUnixMS: e.BootUnixMS})
 	}
 	r := s.newRun(t, w, e.Attempt)
-	r.beforeFence, r.speedPercent = true, speedUnknown
+	r.beforeFence, r.speedPercent, r.ticketed = true, speedUnknown, t.step.job.queue.Advice != nil
 }
 
 func (s *State) replayEnd(t *task, e events.Event) {
@@ -115,6 +115,7 @@
 			s.limitFormerLease(w, takenOver)
 		}
 		for _, r := range w.runs.copy() {
+			r.markUnanswered(s.now)
 			if r.task.step.gangBroken || r.task.step.job.final() {
 				s.stop(r, ReasonGangBroken)
 			}
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -84,15 +84,15 @@
 		return // a run that is not listed may have ended in any way
 	}
 	for _, r := range w.runs.copy() {
-		if !listed[r] && s.certainlyEnded(w, r, rep.PolledAt) {
-			s.endRun(r, events.RunLost, "")
+		if !listed[r] {
+			s.settleMissing(w, r, rep.PolledAt)
 		}
 	}
 }
 
 // certainlyEnded reports whether a run that is missing from a worker's complete lists has
-// certainly ended or will never begin. That is so if the poll was sent after the run was confirmed,
-// after its accepted stop took effect or after its start deadline. It is also so for a
+// certainly ended or will never begin in this incarnation. That is so if the poll was sent after the
+// run was confirmed, after its accepted stop took effect or after its start deadline. It is also so for a
 // run that was ordered before the worker's fence: the worker refuses these orders once it has
 // seen the current token.
 func (s *State) certainlyEnded(w *worker, r *run, polledAt clock.Mono) bool {
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -238,9 +238,13 @@
 	if r == nil {
 		return
 	}
+	r.awaitsAnswer = false
 	switch outcome {
 	case OutcomeStarted, OutcomeStartedOnRetry:
-		r.triesAnswered = outcome == OutcomeStarted
+		if outcome == OutcomeStartedOnRetry {
+			r.markUnanswered(s.now)
+		}
+		r.triesAnswered = r.lateUntil == 0
 		if !r.confirmed {
 			r.confirmed, r.confirmedAt, r.progressedAt = true, s.now, s.now
 		}
@@ -250,7 +254,8 @@
 		return
 	case OutcomeUnknown:
 		// The run may have begun although all answers were lost or late. The worker's next
-		// lists show it; without one, the run is given up when the start has expired.
+		// lists show it; if they do not, the start is repeated when it has expired.
+		r.markUnanswered(s.now)
 		return
 	case OutcomeNoTicket:
 		r.task.step.advice.dropTicket(workerID)
@@ -262,6 +267,9 @@
 		w.suspectUntil = max(w.suspectUntil, s.now.Add(unreachableDuration))
 	case OutcomeNoCapacity, OutcomeExpired, OutcomeStaleAttempt, OutcomeFenced, OutcomeNotSent:
 	}
+	if r.forbidsOthers() && s.now < r.lateUntil {
+		return // an earlier order may still be executed
+	}
 	s.endRun(r, events.RunLost, "")
 }
 
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -178,6 +178,14 @@
 	// triesAnswered is whether every try of the start was answered to this owner, so that none
 	// can reach a later incarnation of the worker.
 	triesAnswered bool
+	// awaitsAnswer is whether the start is being sent. lateUntil is until when a try of it that was
+	// not answered may still be executed; 0 is none. repeats is how often it was decided again.
+	awaitsAnswer bool
+	lateUntil    clock.Mono
+	repeats      int
+	// ticketed is whether the start carries a ticket of the advising service, which only one
+	// incarnation of the worker accepts.
+	ticketed bool
 	// startDeadline is the time after which the worker refuses the start.
 	startDeadline clock.Mono
 	stopping      bool
@@ -341,7 +349,7 @@
 	overdue   []*step
 	index     workerIndex
 	scheduled []*job // jobs with occurrences that are not due yet
-	// departed holds the workers that were removed in the last departedTTL, with the time.
+	// departed holds the workers that were removed in the last maxOrderDelay, with the time.
 	departed map[string]clock.Mono
 	// cancelledEarly holds jobs whose cancellation was read before the job itself.
 	cancelledEarly map[string]bool
@@ -360,6 +368,8 @@
 	cutShort    []CutShort
 	leaseEnds   []LeaseEnd
 	outlived    []OutlivedRun
+	// unanswered are the runs whose starts are to be repeated in the next round.
+	unanswered []*run
 	// givenUp has the runs that were given up because their worker's leases had ended, by
 	// worker.
 	givenUp map[string][]givenUpRun
