Do not send starts whose run was given up while they waited

Cause, from reading: since a start may wait for earlier orders to its worker. When the worker restarts meanwhile and answers with the raised token, the run is given up and its task starts elsewhere, but the order was still sent, with the raised token.

Change: when its turn comes a start is sent only if its run was neither given up nor stopped.

Test that failed before: TestOrderAfterOthers, "run ended meanwhile" and "job cancelled": the start was sent. The test now also checks the number of orders in flight, as an order that is sent by mistake arrives only after the check of the names.

--- a/entry/engine/order.go
+++ b/entry/engine/order.go
@@ -140,7 +140,8 @@
 
 // prepareStart returns the call for a start that the worker may execute until expiresAt.
 func (e *Engine) prepareStart(t *term, c *workerConn, st sched.Start, now, expiresAt clock.Mono) orderCall {
-	if c.clockMS == 0 || c.failures > 0 || !t.state.MayExtendLease(st.Worker) {
+	// While the order waited, the run may have been given up or stopped. Its task may run elsewhere.
+	if c.clockMS == 0 || c.failures > 0 || !t.state.MayExtendLease(st.Worker) || !t.state.AwaitsStart(st.Task, st.Attempt, st.Worker) {
 		e.answerStart(t, st, sched.OutcomeNotSent)
 		return nil
 	}
--- a/entry/engine/order_test.go
+++ b/entry/engine/order_test.go
@@ -126,7 +126,8 @@
 }
 
 // TestOrderAfterOthers guards against a start that waits for earlier orders and is sent when it is too
-// old or when the worker no longer answers, and against a stop that waits for starts.
+// old, when the worker no longer answers or when its run was given up, so that the task runs twice, and
+// against a stop that waits for starts.
 func TestOrderAfterOthers(t *testing.T) {
 	t.Parallel()
 	name := func(index int) string {
@@ -144,6 +145,8 @@
 		"too old":             {wait: maxStartDelay/2 + 1, want: first, waiting: 1},
 		"silent worker":       {prepare: func(r *restartTerm) { r.conn.failures = 1 }, want: first, waiting: 1},
 		"worker's clock lost": {prepare: func(r *restartTerm) { r.conn.forgetIncarnation(r.clk.Now()) }, want: first, waiting: 1},
+		"run ended meanwhile": {prepare: func(r *restartTerm) { r.term.state.WorkerReplaced("w0") }, want: first, waiting: 3},
+		"job cancelled":       {prepare: func(r *restartTerm) { r.term.state.Cancel(busyJob) }, want: first, waiting: 1},
 		"stop goes first": {
 			prepare: func(r *restartTerm) {
 				r.engine.sendStop(r.term, sched.Stop{Task: graph.TaskID{Job: testJob}, Attempt: 1, Worker: "w0"})
@@ -177,6 +180,9 @@
 			r.clk.Advance(tt.wait)
 			w.answer <- struct{}{}
 			r.handlePost()
+			if diff := cmp.Diff(len(tt.want)-1, r.conn.orders.inFlight); diff != "" { // the first was answered
+				t.Errorf("orders in flight (-want +got):\n%s", diff)
+			}
 			if diff := cmp.Diff(tt.want, w.waitForOrders(t, len(tt.want))); diff != "" {
 				t.Errorf("orders (-want +got):\n%s", diff)
 			}
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -228,6 +228,17 @@
 	OutcomeUnknown StartOutcome = "unknown"
 )
 
+// AwaitsStart reports whether a start that was decided is still to be sent: its run was neither given
+// up nor stopped since.
+func (s *State) AwaitsStart(id graph.TaskID, attempt int, workerID string) bool {
+	w := s.workers[workerID]
+	if w == nil {
+		return false
+	}
+	r := s.findRun(w, id, attempt)
+	return r != nil && r.awaitsAnswer && !r.stopping
+}
+
 // StartAnswered applies the answer to a start.
 func (s *State) StartAnswered(id graph.TaskID, attempt int, workerID string, outcome StartOutcome) {
 	w := s.workers[workerID]
