--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -29,6 +29,11 @@
 		e.log.Warn("step does not fit on any worker", zap.String("step", u.Step), zap.String("queue", u.Queue), zap.String("team", u.Team),
 			zap.String("label", u.Label))
 	}
+	for _, w := range t.state.LongWaits() {
+		e.log.Info("step waits", zap.String("step", w.Step), zap.String("queue", w.Queue), zap.String("team", w.Team),
+			zap.String("for", string(w.Reason)), zap.Int64("waited_ms", w.Waited.Milliseconds()), zap.Int("tasks", w.Tasks),
+			zap.Int("workers", w.Workers), zap.Int("room", w.Room), zap.Int("limit_used_percent", w.LimitUsed))
+	}
 	l := t.state.Load()
 	queues, accounts := 0, 0
 	if t.load != nil {
--- a/entry/sched/team.go
+++ b/entry/sched/team.go
@@ -71,3 +71,16 @@
 		(l.MemoryMiB() == 0 || total.MemoryMiB() <= l.MemoryMiB()) &&
 		(l.Accelerators() == 0 || total.Accelerators() <= l.Accelerators())
 }
+
+// percentUsed returns how much of its limit the account uses in the dimension in which that is
+// most, in percent; 0 without a limit.
+func (t *team) percentUsed() int {
+	percent := func(used, limit int64) int {
+		if limit <= 0 {
+			return 0
+		}
+		return int(100 * used / limit)
+	}
+	u, l := t.used, t.limit
+	return max(percent(u.CPUMilli(), l.CPUMilli()), percent(u.MemoryMiB(), l.MemoryMiB()), percent(u.Accelerators(), l.Accelerators()))
+}
