Reserve no workers for gangs that cannot fit beside service tasks

Cause: workers were reserved for a gang as if they could become empty. A service task ends only when its job is cancelled.

Change: a worker counts with the room beside its service tasks. If the gang does not fit then, nothing is reserved.

--- a/entry/sched/gang.go
+++ b/entry/sched/gang.go
@@ -106,9 +106,22 @@
 	return nil
 }
 
+// roomWithoutBatch returns the capacity that a worker has once all its runs but those of service tasks
+// have ended.
+func (w *worker) roomWithoutBatch() amount.Vec {
+	room := w.spec.Capacity
+	for _, r := range w.runs {
+		if r.task.step.spec.Service && !r.stopping {
+			room = room.Sub(r.size)
+		}
+	}
+	return room
+}
+
 // reserveCapacity reserves the workers with the most free CPU for a gang that does not
 // fit yet, so that they get no other tasks of the same or a lower priority. It reports
-// whether the reserved workers could hold the gang if they were empty.
+// whether the reserved workers could hold the gang beside the service tasks that they run.
+// Nothing is reserved for a gang that could not fit before one of these has ended.
 func (s *State) reserveCapacity(st *step) bool {
 	need := st.remaining
 	var list []fit
@@ -116,7 +129,7 @@
 		if w.reservedFor != nil || !suits(w, st) || s.tooSlowFor(w, st) || w.isOnProbation() && s.trialCapacity(w, st, need) == 0 {
 			continue
 		}
-		n := fitCountVec(w.spec.Capacity, st.size, need)
+		n := fitCountVec(w.roomWithoutBatch(), st.size, need)
 		if n > 0 {
 			list = append(list, fit{worker: w, count: n, cost: -float64(w.free().CPUMilli())})
 		}
