Try workers on probation although long tasks run there

Cause: a worker on probation gets one task at a time, and every run there counted as that one, also those from before its failures, and one that works for minutes or hours.

Change: only runs decided after the worker's last failure count, and for tasks that are not gangs only until they have made progress for 3 s. As before, only a success ends the probation.

--- a/entry/sched/probation.go
+++ b/entry/sched/probation.go
@@ -21,9 +21,9 @@
 	// gangTrialDelay is how long tasks that are not gangs may try a worker on probation first,
 	// after it was suspected. One failing worker costs a gang the work of all its members.
 	gangTrialDelay = 2 * time.Second
-	// serviceTrialTime is how long a service task must be at work to show that its worker is
-	// sound: it has no end as done.
-	serviceTrialTime = 3 * time.Second
+	// trialTime is how long a service task must be at work to show that its worker is sound, as it
+	// has no end as done, and how long another run must be until the worker gets a further one.
+	trialTime = 3 * time.Second
 )
 
 // isOnProbation reports whether a worker has failed since its last success as suspected
@@ -37,7 +37,7 @@
 // nothing but gangs waits.
 func (s *State) trialCapacity(w *worker, st *step, n int) int {
 	switch {
-	case w.hasTrial():
+	case w.hasTrial(st.spec.Gang):
 		return 0
 	case !st.spec.Gang:
 		return min(n, 1)
@@ -48,15 +48,26 @@
 	}
 }
 
-// hasTrial reports whether a run on the worker may still show whether the worker is sound.
-func (w *worker) hasTrial() bool {
-	return slices.ContainsFunc(w.runs, func(r *run) bool { return !r.hasServed() })
+// hasTrial reports whether a run on the worker may soon show whether the worker is sound. Runs from
+// before its last failure do not, and those that work for long do not soon: both may take
+// hours, in which nothing else would start. For a gang the latter count, as the worker may fail
+// all members.
+func (w *worker) hasTrial(gang bool) bool {
+	return slices.ContainsFunc(w.runs, func(r *run) bool {
+		return r.decidedAt >= w.failedAt && !r.hasServed() && (gang || !r.hasWorked())
+	})
+}
+
+// hasWorked reports whether the run makes progress and has been at work for trialTime. Time
+// without reports does not count.
+func (r *run) hasWorked() bool {
+	return r.firstListedAt != 0 && r.progress > r.firstProgress && r.lastListedAt.Sub(r.firstListedAt) >= trialTime
 }
 
 // hasServed reports whether the run is a service task that has been at work for
-// serviceTrialTime. Time without reports does not count.
+// trialTime. Time without reports does not count.
 func (r *run) hasServed() bool {
-	return r.task.step.spec.Service && r.progress >= progressComplete && r.lastListedAt.Sub(r.progressedAt) >= serviceTrialTime
+	return r.task.step.spec.Service && r.progress >= progressComplete && r.lastListedAt.Sub(r.progressedAt) >= trialTime
 }
 
 // evaluateService ends the probation of a worker on which a service task works that was
--- a/entry/sched/probation_test.go
+++ b/entry/sched/probation_test.go
@@ -277,10 +277,10 @@
 		at      time.Duration
 		want    int // tasks started then
 	}{
-		"starting up":                       {percent: 50, at: serviceTrialTime, want: 0},
-		"at work for a short time":          {percent: 100, at: serviceTrialTime - 1, want: 0},
-		"at work":                           {percent: 100, at: serviceTrialTime, want: 7},
-		"at work since before the failures": {before: true, percent: 100, at: serviceTrialTime, want: 1},
+		"starting up":                       {percent: 50, at: trialTime, want: 0},
+		"at work for a short time":          {percent: 100, at: trialTime - 1, want: 0},
+		"at work":                           {percent: 100, at: trialTime, want: 7},
+		"at work since before the failures": {before: true, percent: 100, at: trialTime, want: 1},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -334,3 +334,55 @@
 		t.Errorf("starts (-want +got):\n%s", diff)
 	}
 }
+
+// TestLongRunsOnProbation guards against workers on probation that get nothing for as long as a task of minutes
+// or hours runs there, so that nobody's work is started although the workers are sound.
+func TestLongRunsOnProbation(t *testing.T) {
+	t.Parallel()
+	long := graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 3_600_000}
+	const begun = testNow + clock.Mono(suspectDuration+gangTrialDelay+time.Second) // of the trial
+	tests := map[string]struct {
+		// before is whether the long task runs since before the failures.
+		before  bool
+		percent int           // its progress at last
+		at      time.Duration // of the last list, after begun
+		gang    bool
+		want    int // tasks started of a step with eight
+	}{
+		"since before the failures":             {before: true, want: 1},
+		"since before the failures, a gang":     {before: true, gang: true, want: 8},
+		"just begun":                            {percent: 1, at: trialTime - 1, want: 0},
+		"no progress":                           {at: time.Minute, want: 0},
+		"at work":                               {percent: 1, at: trialTime, want: 1},
+		"at work, a gang would lose all of its": {percent: 1, at: trialTime, gang: true, want: 0},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newState(t, nil)
+			run := newJobInQueue(1, "q", long)
+			if tt.before {
+				s.AddJob(run)
+				s.Decide(testNow)
+				s.SetNow(testNow.Add(time.Second), 0)
+			}
+			failOn(s, "w0", 10)
+			s.SetNow(begun, 0)
+			if !tt.before {
+				s.AddJob(run)
+				s.Decide(begun)
+			}
+			for i, percent := range []int{0, tt.percent} {
+				s.SetNow(begun.Add(time.Duration(i)*tt.at), 0)
+				s.Observe(Report{
+					Worker: "w0", BootUnixMS: 1, PolledAt: s.now,
+					Running: []RunStatus{{Task: graph.TaskID{Job: run.ID}, Attempt: 1, Percent: percent}},
+				})
+			}
+			s.AddJob(newJobInQueue(2, "q", graph.Step{Count: 8, CPUMilli: 1000, EstimateMS: 1000, Gang: tt.gang}))
+			if diff := cmp.Diff(tt.want, len(startsOf(s.Decide(s.now)))); diff != "" {
+				t.Errorf("tasks started (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -26,7 +26,7 @@
 // account's limit.
 func (s *State) newRun(t *task, w *worker, attempt int) *run {
 	st := t.step
-	r := &run{task: t, attempt: attempt, worker: w, size: st.size, charged: st.spec.Declared(), progressedAt: s.now, speedPercent: fullSpeed}
+	r := &run{task: t, attempt: attempt, worker: w, size: st.size, charged: st.spec.Declared(), decidedAt: s.now, progressedAt: s.now, speedPercent: fullSpeed}
 	r.startDeadline, r.partial = s.now.Add(s.cfg.StartTTL), t.checkpoint != ""
 	t.attempt = attempt
 	st.gangAttempt = max(st.gangAttempt, attempt)
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -170,6 +170,8 @@
 	size    amount.Vec
 	charged amount.Vec
 
+	// decidedAt is when the start was decided, or when the journal of a former owner was read.
+	decidedAt clock.Mono
 	// confirmed is whether the worker accepted the start or listed the run.
 	confirmed bool
 	// confirmedAt is when the run was confirmed. For an unconfirmed run it is when an
