Count jobs as pending until a worker has started a task of them

Cause: a job counted as started once a start was decided, also if the worker refused it, did not answer, or the start was never sent.

Change: it counts as started once a worker accepted a start, lists a run of it or reports the end of one.

--- a/entry/sched/latestart.go
+++ b/entry/sched/latestart.go
@@ -25,10 +25,10 @@
 	r.awaitsAnswer, r.lateUntil = false, now.Add(maxOrderDelay)
 }
 
-// forbidsOthers reports whether a run that its worker does not list keeps its task from starting elsewhere
+// holdsTask reports whether a run that its worker does not list keeps its task from starting elsewhere
 // as long as the start may still be executed. A worker's later incarnation rejects the tickets
 // for the former one.
-func (r *run) forbidsOthers() bool {
+func (r *run) holdsTask() bool {
 	st := r.task.step
 	return !r.confirmed && !r.ticketed && !st.spec.AllowDuplicates && !r.task.done && !st.job.final()
 }
@@ -38,7 +38,7 @@
 func (s *State) settleMissing(w *worker, r *run, polledAt clock.Mono) {
 	switch {
 	case !s.certainlyEnded(w, r, polledAt):
-	case r.forbidsOthers() && s.mayStartLate(r, polledAt):
+	case r.holdsTask() && s.mayStartLate(r, polledAt):
 		s.unanswered = append(s.unanswered, r)
 	default:
 		s.endRun(r, events.RunLost, "")
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -122,8 +122,7 @@
 // updateRun applies a worker's entry for a known run.
 func (s *State) updateRun(r *run, item RunStatus) {
 	if !r.confirmed {
-		r.confirmed, r.confirmedAt = true, s.now
-		r.progressedAt = s.now
+		s.confirm(r)
 		r.partial = r.partial || r.beforeFence
 	}
 	r.beforeFence, r.listedBootMS = false, r.worker.spec.BootUnixMS
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -42,16 +42,22 @@
 	if st.job.queue.Priority == urgentPriority {
 		tm.urgent.add(r.charged, s.now)
 	}
-	if !st.job.hasStarted && !s.replaying { // the journal does not hold the start times
+	if !st.job.startDecided && !s.replaying { // the journal does not hold the start times
 		st.job.firstStartAt = s.now
 	}
-	st.job.hasStarted = true
+	st.job.startDecided = true
 	if st.job.state == JobQueued {
 		st.job.state = JobRunning
 	}
 	return r
 }
 
+// confirm records that a worker accepted the start of a run or lists it.
+func (s *State) confirm(r *run) {
+	r.confirmed, r.confirmedAt, r.progressedAt = true, s.now, s.now
+	r.task.step.job.hasStarted = true
+}
+
 // endRun removes a run, records its end and updates its task, job and worker.
 func (s *State) endRun(r *run, outcome events.RunOutcome, checkpoint string) {
 	t, st, w := r.task, r.task.step, r.worker
@@ -105,6 +111,7 @@
 // as soon as one member is. Service tasks are never done.
 func (s *State) completeTask(t *task) {
 	st := t.step
+	st.job.hasStarted = true
 	if st.spec.Service {
 		return
 	}
@@ -128,6 +135,7 @@
 // that are done and of final jobs do not count.
 func (s *State) countFailure(t *task, attempt int) bool {
 	st := t.step
+	st.job.hasStarted = true
 	if st.spec.Service || t.done || st.job.final() {
 		return false
 	}
@@ -257,7 +265,7 @@
 		}
 		r.triesAnswered = r.lateUntil == 0
 		if !r.confirmed {
-			r.confirmed, r.confirmedAt, r.progressedAt = true, s.now, s.now
+			s.confirm(r)
 		}
 		if r.task.done || r.task.step.job.final() {
 			s.stop(r, ReasonEnded)
@@ -278,7 +286,7 @@
 		w.suspectUntil = max(w.suspectUntil, s.now.Add(unreachableDuration))
 	case OutcomeNoCapacity, OutcomeExpired, OutcomeStaleAttempt, OutcomeFenced, OutcomeNotSent:
 	}
-	if r.forbidsOthers() && s.now < r.lateUntil {
+	if r.holdsTask() && s.now < r.lateUntil {
 		return // an earlier order may still be executed
 	}
 	s.endRun(r, events.RunLost, "")
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -15,6 +15,7 @@
 //	s.LeasesStored()          // once they are stored
 //	s.RestartsStored(rev)     // then too, with the revision of the write: the token of these workers
 //	s.MayExtendLease(worker)  // before each order that extends a lease
+//	s.AwaitsStart(...)        // before a start that had to wait is sent
 //
 // # Recovery
 //
@@ -310,8 +311,10 @@
 	team         *team      // nil if it was compacted when it was added
 	queue        rules.Queue
 	state        JobState
-	hasStarted   bool
-	firstStartAt clock.Mono
+	// startDecided is whether a start was decided, first at firstStartAt; the worker may have
+	// refused it. hasStarted is whether a worker accepted or listed a run.
+	startDecided, hasStarted bool
+	firstStartAt             clock.Mono
 	occurrences  [][]*step
 	stepsLeft    int
 	openTasks    int // tasks of opened occurrences that are not done
