--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -307,17 +307,17 @@
 }
 
 type job struct {
-	doc          *graph.Job // as accepted, or its compacted form
-	team         *team      // nil if it was compacted when it was added
-	queue        rules.Queue
-	state        JobState
+	doc   *graph.Job // as accepted, or its compacted form
+	team  *team      // nil if it was compacted when it was added
+	queue rules.Queue
+	state JobState
 	// startDecided is whether a start was decided, first at firstStartAt; the worker may have
 	// refused it. hasStarted is whether a worker accepted or listed a run.
 	startDecided, hasStarted bool
 	firstStartAt             clock.Mono
-	occurrences  [][]*step
-	stepsLeft    int
-	openTasks    int // tasks of opened occurrences that are not done
+	occurrences              [][]*step
+	stepsLeft                int
+	openTasks                int // tasks of opened occurrences that are not done
 	// objective is when the job should be complete, worthlessAt when its result has no
 	// value any more.
 	accepted, objective, worthlessAt clock.Mono
