--- a/entry/engine/order_test.go
+++ b/entry/engine/order_test.go
@@ -118,7 +118,8 @@
 			if diff := cmp.Diff(tt.want, w.most); diff != "" {
 				t.Errorf("orders in flight (-want +got):\n%s", diff)
 			}
-			if diff := cmp.Diff(0, r.term.state.UnconfirmedRuns("w0")-1); diff != "" { // one is the run of testJob, which was not sent
+			const notSent = 1 // the run of testJob
+			if diff := cmp.Diff(notSent, r.term.state.UnconfirmedRuns("w0")); diff != "" {
 				t.Errorf("runs that were not started (-want +got):\n%s", diff)
 			}
 		})
--- a/entry/sched/fence.go
+++ b/entry/sched/fence.go
@@ -28,8 +28,8 @@
 	// It bounds the time for which orders for the former incarnation can still be executed after
 	// another VM has taken over.
 	FenceTTL = 5 * time.Second
-	// maxOrderTime is how long after it was sent an order may reach a worker that does not answer.
-	// It covers all tries of a start; runs wait for it.
+	// maxOrderTime is how long runs on a worker that does not answer wait for orders under way to
+	// it. It covers all tries of a start; some orders are later, up to maxOrderDelay.
 	maxOrderTime = 2 * time.Second
 )
 
--- a/entry/sched/latestart_test.go
+++ b/entry/sched/latestart_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"limpethitch.example/core/amount"
 	"limpethitch.example/core/clock"
 	"limpethitch.example/entry/graph"
 	"limpethitch.example/entry/rules"
@@ -97,6 +98,21 @@
 			l.list(laterBoot, time.Second)
 			l.list(laterBoot+1, expired)
 		}, want: []string{repeat}},
+		"the worker restarts while the start is being sent": {step: plain, play: func(l *lateStart) {
+			l.list(laterBoot, time.Second)
+			unknown(l)
+			l.list(laterBoot, 1500*time.Millisecond)
+		}, want: []string{repeat}},
+		"the worker that is back is too small": {step: plain, play: func(l *lateStart) {
+			unknown(l)
+			l.workers["w1"].spec.Capacity = amount.New(500, 64_000, 0, 0)
+			l.list(formerBoot, expired)
+		}},
+		"the run is being stopped": {step: plain, play: func(l *lateStart) {
+			unknown(l)
+			l.stop(l.workers["w1"].runs[0], ReasonGangBroken)
+			l.list(formerBoot, expired)
+		}},
 		"the repeated start is refused": {step: plain, play: func(l *lateStart) {
 			unknown(l)
 			l.list(formerBoot, expired)
--- a/entry/sched/longwait.go
+++ b/entry/sched/longwait.go
@@ -14,32 +14,32 @@
 	WaitsForAdviser WaitReason = "busy advisers"
 	// WaitsForLiveRuns is for gangs of which runs of an earlier attempt have not ended.
 	WaitsForLiveRuns WaitReason = "earlier attempt"
-	WaitsForCapacity WaitReason = "capacity"
+	WaitsForCapacity WaitReason = "capacity" // also if no VM is free to renew the tickets for it
 	// WaitsForRound is for steps with room that nothing else holds up.
 	WaitsForRound WaitReason = "next round"
 )
 
 const (
-	// longWait is how long a step waits before it is listed.
+	// longWait is how long a step with waiting tasks must have been ready to be listed.
 	longWait = 2 * time.Second
 	// maxLongWaits bounds the steps in a list.
 	maxLongWaits = 5
 )
 
-// LongWait is a step that has waited for long.
+// LongWait is a step with waiting tasks that has been ready for long.
 type LongWait struct {
 	Step, Queue, Team string
 	Reason            WaitReason
 	// Tasks is the number of tasks that wait. Workers and Room are the workers with capacity
 	// for one of them among those that the advice so far allows, and how many fit there.
 	Tasks, Workers, Room int
-	Waited               time.Duration
+	Waited               time.Duration // since the step was ready; other tasks of it may have run
 	// LimitUsed is how much of its limit the account uses, in percent, in the dimension in
 	// which that is most; 0 without a limit.
 	LimitUsed int
 }
 
-// LongWaits returns steps that have waited for long, those first that are first in rank order.
+// LongWaits returns steps with waiting tasks that have been ready for long, in rank order.
 func (s *State) LongWaits() []LongWait {
 	var out []LongWait
 	for st := range s.allWaiting() {
--- a/entry/sched/reserve_test.go
+++ b/entry/sched/reserve_test.go
@@ -18,11 +18,16 @@
 		first graph.Step // runs on one of the two workers
 		busy  bool       // a task that ends by itself runs there, too
 		cpu   int64      // of each of the gang's two members
+		// stopping is whether the first task is being stopped.
+		stopping bool
 		// want is whether a later job gets the other worker while the gang waits.
 		want bool
 	}{
-		"a service task leaves no room":  {first: graph.Step{Count: 1, CPUMilli: 4000, Service: true}, cpu: 30_000, want: true},
-		"a service task leaves room":     {first: graph.Step{Count: 1, CPUMilli: 4000, Service: true}, busy: true, cpu: 28_000, want: false},
+		"a service task leaves no room": {first: graph.Step{Count: 1, CPUMilli: 4000, Service: true}, cpu: 30_000, want: true},
+		"a service task leaves room":    {first: graph.Step{Count: 1, CPUMilli: 4000, Service: true}, busy: true, cpu: 28_000, want: false},
+		"a service task is being stopped": {
+			first: graph.Step{Count: 1, CPUMilli: 4000, Service: true}, stopping: true, cpu: 30_000, want: false,
+		},
 		"a task that ends is in the way": {first: graph.Step{Count: 1, CPUMilli: 4000, EstimateMS: 60_000}, cpu: 30_000, want: false},
 	}
 	for name, tt := range tests {
@@ -35,6 +40,9 @@
 			addTestWorker(s, "w1", 1)
 			s.AddJob(newJobInQueue(1, "gangs", tt.first))
 			s.Decide(testNow)
+			if tt.stopping {
+				s.stop(s.lookupTask(graph.TaskID{Job: newJobInQueue(1, "gangs").ID}).run, ReasonSlowWorker)
+			}
 			if tt.busy {
 				s.AddJob(newJobInQueue(4, "gangs", graph.Step{Count: 1, CPUMilli: 1000, EstimateMS: 60_000}))
 				s.Decide(testNow)
