Log which binary runs at the start of a VM

Seen: a started VM logs the ID that 'go tool buildid' prints for its file. Tests: core/logs TestBuild, TestNoteContent.

--- a/entry/serve/vm.go
+++ b/entry/serve/vm.go
@@ -27,6 +27,7 @@
 
 	"limpethitch.example/core/clock"
 	"limpethitch.example/core/fleet"
+	"limpethitch.example/core/logs"
 	"limpethitch.example/core/policy"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
@@ -210,7 +211,8 @@
 	defer stopAPI()
 	apiDone := make(chan error, 1)
 	go func() { apiDone <- v.front.Serve(api, v.httpLis) }()
-	v.log.Info("entry VM started", zap.String("data_centre", v.cfg.DataCentre), zap.String("listen", v.cfg.Listen), zap.String("peer", v.cfg.Peer))
+	v.log.Info("entry VM started", append(logs.Build(), zap.String("data_centre", v.cfg.DataCentre), zap.String("listen", v.cfg.Listen),
+		zap.String("peer", v.cfg.Peer))...)
 	select {
 	case err := <-apiDone:
 		return err
