Tell a watch of dropped history from a broken one in core/store

With core/store an owner whose watch fell behind the changes that the store keeps never heard of a worker or job again. Not on the users' platform, whose store has its own code.

Cause: Memory and Gateway gave rcode.StoreUnavailable for dropped history and for a broken stream. After the first the keys must be listed again (rcode.NotFound, as platform/store.go says), after the second the watch is resumed: it was resumed for ever.

Change: both return rcode.NotFound, and the interface says so. TestWatchCompacted expected the code that caused this; it now expects the one by which callers tell the two apart, and TestWatchBounds checks it too.

--- a/core/store/gateway.go
+++ b/core/store/gateway.go
@@ -143,8 +143,9 @@
 
 type watchReply struct {
 	Result struct {
-		Canceled bool `json:"canceled"`
-		Events   []struct {
+		Canceled        bool  `json:"canceled"`
+		CompactRevision int64 `json:"compact_revision,string"`
+		Events          []struct {
 			Type string `json:"type"`
 			KV   jsonKV `json:"kv"`
 		} `json:"events"`
@@ -325,6 +326,9 @@
 		if err := dec.Decode(&w); err != nil {
 			return rcode.Wrap(err, rcode.StoreUnavailable, "store.Watch %s", prefix)
 		}
+		if w.Result.Canceled && w.Result.CompactRevision > 0 {
+			return rcode.New(rcode.NotFound, "store.Watch %s: no changes from before revision %d", prefix, w.Result.CompactRevision)
+		}
 		if w.Result.Canceled {
 			return rcode.New(rcode.StoreUnavailable, "store.Watch %s: cancelled by the service", prefix)
 		}
--- a/core/store/memory.go
+++ b/core/store/memory.go
@@ -165,7 +165,7 @@
 	for {
 		batch, changed, err := m.changesSince(from)
 		if err != nil {
-			return rcode.Wrap(err, rcode.StoreUnavailable, "store.Watch %s from %d", prefix, from)
+			return rcode.Wrap(err, rcode.NotFound, "store.Watch %s from %d", prefix, from)
 		}
 		for _, c := range batch {
 			from = c.kv.modRevision + 1
--- a/core/store/memory_test.go
+++ b/core/store/memory_test.go
@@ -125,7 +125,7 @@
 			if d := cmp.Diff(tt.want, got); d != "" {
 				t.Error(d)
 			}
-			if d := cmp.Diff(tt.compacted, errors.Is(err, store.ErrCompacted)); d != "" {
+			if d := cmp.Diff([]bool{tt.compacted, tt.compacted}, []bool{errors.Is(err, store.ErrCompacted), rcode.Is(err, rcode.NotFound)}); d != "" {
 				t.Error(err, d)
 			}
 		})
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -149,6 +149,7 @@
 	// that has not succeeded.
 	Commit(ctx context.Context, t *Txn) (Result, error)
 	// Watch calls fn for each change of a key with the prefix, from revision from on,
-	// until ctx ends or the stream breaks.
+	// until ctx ends or the stream breaks. It returns rcode.NotFound if the store no longer
+	// has these changes, so that the caller has to list the keys again.
 	Watch(ctx context.Context, prefix string, from int64, fn func(Change)) error
 }
--- a/entry/engine/recover_test.go
+++ b/entry/engine/recover_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 	"time"
 
@@ -67,3 +68,57 @@
 		t.Errorf("worker of the first start (-want +got):\n%s", diff)
 	}
 }
+
+// laggingStore is a store whose watches of the workers begin when release is closed.
+type laggingStore struct {
+	store.Store
+	release chan struct{}
+}
+
+func (s laggingStore) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) error {
+	if prefix == "workers/" {
+		<-s.release
+	}
+	return s.Store.Watch(ctx, prefix, from, fn)
+}
+
+// TestWorkersAfterLostHistory guards against an owner that no longer hears of its workers, because its
+// watch goes on from a revision whose changes the store has dropped and it does not list them again.
+func TestWorkersAfterLostHistory(t *testing.T) {
+	t.Parallel()
+	lagging := laggingStore{release: make(chan struct{})}
+	h := newHarnessWith(t, func(cfg *Config) {
+		lagging.Store = cfg.Store
+		cfg.Store = lagging
+	})
+	awaitPoll(t, h.worker, "w0")
+	if _, err := h.store.Commit(h.ctx, store.NewTxn().Put("workers/w1", []byte("1"))); err != nil {
+		t.Fatal(err)
+	}
+	// More changes than the store keeps.
+	others := store.NewTxn()
+	for i := range 30_000 {
+		others.Put("other/"+strconv.Itoa(i), nil)
+	}
+	if _, err := h.store.Commit(h.ctx, others); err != nil {
+		t.Fatal(err)
+	}
+	close(lagging.release)
+	awaitPoll(t, h.worker, "w1")
+}
+
+// awaitPoll waits until a worker is polled.
+func awaitPoll(t *testing.T, w *fakeWorker, id string) {
+	t.Helper()
+	timeout := time.After(10 * time.Second)
+	for {
+		select {
+		case o := <-w.polled:
+			if o.Instance == id {
+				return
+			}
+		case <-timeout:
+			t.Fatalf("worker %s was not polled", id)
+		}
+	}
+}
--- a/stand/standkv/standkv_test.go
+++ b/stand/standkv/standkv_test.go
@@ -143,7 +143,8 @@
 }
 
 // TestWatchCompacted checks that a watch from a compacted revision fails instead of
-// silently skipping changes.
+// silently skipping changes, and that its error differs from that of a broken stream, after
+// which the caller resumes the watch instead of listing the keys again.
 func TestWatchCompacted(t *testing.T) {
 	_, g := serve(t, standkv.Config{LogEntries: 2}, clock.New())
 	first := put(t, g, "w/1", "1")
@@ -151,7 +152,7 @@
 		put(t, g, "w/1", "2")
 	}
 	keys, ended := watch(context.Background(), g, first)
-	if d := cmp.Diff(rcode.StoreUnavailable, rcode.Of(<-ended)); d != "" {
+	if d := cmp.Diff(rcode.NotFound, rcode.Of(<-ended)); d != "" {
 		t.Error(d)
 	}
 	if _, open := <-keys; open {
