Send the changes of a transaction in one message of the stand-in's watch

A client of standkv whose stream was cut between the changes of a transaction never received the later ones: readers resume after the revision of the last change.

Cause: one message for each change; the service that it stands in for sends all changes of a revision together.

Change: store.Memory.WatchTransactions, one message for each of its calls.

--- a/core/store/memory.go
+++ b/core/store/memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -130,11 +131,10 @@
 		if oldest == m.revision {
 			return
 		}
-		n := 0
-		for m.log[n].kv.modRevision == oldest {
-			m.logBytes -= len(m.log[n].kv.value)
-			m.log[n] = Change{}
-			n++
+		n := transactionLen(m.log)
+		for i := range m.log[:n] {
+			m.logBytes -= len(m.log[i].kv.value)
+			m.log[i] = Change{}
 		}
 		m.log = m.log[n:]
 		m.compactedRevision = oldest
@@ -159,6 +159,15 @@
 // Watch implements Store. A watch that starts before the oldest revision in the log,
 // or falls behind it, ends with ErrCompacted.
 func (m *Memory) Watch(ctx context.Context, prefix string, from int64, fn func(Change)) error {
+	return m.WatchTransactions(ctx, prefix, from, func(changes []Change) {
+		for _, c := range changes {
+			fn(c)
+		}
+	})
+}
+
+// WatchTransactions is Watch with all changes of a transaction in one call of fn.
+func (m *Memory) WatchTransactions(ctx context.Context, prefix string, from int64, fn func([]Change)) error {
 	if from <= 0 {
 		from = m.Revision() + 1
 	}
@@ -167,11 +176,13 @@
 		if err != nil {
 			return rcode.Wrap(err, rcode.NotFound, "store.Watch %s from %d", prefix, from)
 		}
-		for _, c := range batch {
-			from = c.kv.modRevision + 1
-			if strings.HasPrefix(c.kv.key, prefix) {
-				fn(c)
+		for len(batch) > 0 {
+			n := transactionLen(batch)
+			from = batch[0].kv.modRevision + 1
+			if matching := withPrefix(batch[:n], prefix); len(matching) > 0 {
+				fn(matching)
 			}
+			batch = batch[n:]
 		}
 		select {
 		case <-ctx.Done():
@@ -181,6 +192,27 @@
 	}
 }
 
+// transactionLen returns how many of the changes, of which there is at least one, belong to the
+// first transaction.
+func transactionLen(changes []Change) int {
+	n := slices.IndexFunc(changes, func(c Change) bool { return c.kv.modRevision != changes[0].kv.modRevision })
+	if n < 0 {
+		return len(changes)
+	}
+	return n
+}
+
+// withPrefix returns the changes of keys with a prefix.
+func withPrefix(changes []Change, prefix string) []Change {
+	var out []Change
+	for _, c := range changes {
+		if strings.HasPrefix(c.kv.key, prefix) {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // changesSince returns the logged changes from a revision on and a channel that is
 // closed at the next change.
 func (m *Memory) changesSince(from int64) ([]Change, <-chan struct{}, error) {
--- a/stand/standkv/kv.go
+++ b/stand/standkv/kv.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http/httputil"
+	"slices"
 	"sync"
 	"time"
 
@@ -284,15 +285,14 @@
 		}
 	}
 	send(watchResult{Created: true})
-	err := s.mem.Watch(ctx, key, from, func(ch store.Change) {
-		if exact && ch.KV().Key() != key {
-			return
+	// As in the service, the changes of a transaction are in one message.
+	err := s.mem.WatchTransactions(ctx, key, from, func(changes []store.Change) {
+		if exact {
+			changes = slices.DeleteFunc(changes, func(ch store.Change) bool { return ch.KV().Key() != key })
 		}
-		e := event{KV: keyValue{[]byte(ch.KV().Key()), ch.KV().Value(), ch.KV().ModRevision()}}
-		if ch.Deleted() {
-			e.Type = "DELETE"
+		if len(changes) > 0 {
+			send(watchResult{Events: eventsOf(changes)})
 		}
-		send(watchResult{Events: []event{e}})
 	})
 	if errors.Is(err, store.ErrCompacted) {
 		send(watchResult{Canceled: true, CompactRevision: s.mem.CompactedRevision() + 1})
@@ -302,6 +302,19 @@
 	_ = buf.Flush()
 }
 
+// eventsOf converts changes to the events of a message.
+func eventsOf(changes []store.Change) []event {
+	out := make([]event, 0, len(changes))
+	for _, ch := range changes {
+		e := event{KV: keyValue{[]byte(ch.KV().Key()), ch.KV().Value(), ch.KV().ModRevision()}}
+		if ch.Deleted() {
+			e.Type = "DELETE"
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
 func (s *Server) openWatch() (interrupted <-chan struct{}, down bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/stand/standkv/standkv_test.go
+++ b/stand/standkv/standkv_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"context"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
 	"net"
+	"net/http"
 	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,13 +24,19 @@
 func serve(t *testing.T, cfg standkv.Config, clk clock.Clock) (*standkv.Server, *store.Gateway) {
 	t.Helper()
 	srv := standkv.New(cfg, clk)
+	return srv, gateway(t, listen(t, srv))
+}
+
+// listen starts the server and returns its address.
+func listen(t *testing.T, srv *standkv.Server) net.Addr {
+	t.Helper()
 	ln, err := httpd.Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	go func() { _ = srv.Serve(ln) }()
 	t.Cleanup(func() { _ = srv.Close() })
-	return srv, gateway(t, ln.Addr())
+	return ln.Addr()
 }
 
 func gateway(t *testing.T, addr net.Addr) *store.Gateway {
@@ -160,6 +171,53 @@
 	}
 }
 
+// TestWatchWholeTransactions guards against a transaction of which a client receives only the first key,
+// because its stream is cut between two messages and it resumes after the revision of that key.
+func TestWatchWholeTransactions(t *testing.T) {
+	srv := standkv.New(standkv.Config{}, clock.New())
+	addr := listen(t, srv)
+	g := gateway(t, addr)
+	request := fmt.Sprintf(`{"create_request":{"key":%q,"range_end":%q,"start_revision":"2"}}`, base64.StdEncoding.EncodeToString([]byte("w/")),
+		base64.StdEncoding.EncodeToString(store.PrefixEnd("w/")))
+	resp, err := http.Post("http://"+addr.String()+"/v3/watch", "application/json", strings.NewReader(request))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	first := store.NewTxn().Put("w/b", nil).Put("other", nil).Put("w/a", nil)
+	second := store.NewTxn().Put("w/c", nil).Delete("w/a").Put("w/b", nil)
+	for _, txn := range []*store.Txn{first, second} {
+		if _, err := g.Commit(t.Context(), txn); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var got [][]string
+	for stream := json.NewDecoder(resp.Body); len(got) < 2; {
+		var message struct {
+			Result struct {
+				Events []struct {
+					KV struct {
+						Key []byte `json:"key"`
+					} `json:"kv"`
+				} `json:"events"`
+			} `json:"result"`
+		}
+		if err := stream.Decode(&message); err != nil {
+			t.Fatal(err)
+		}
+		var keys []string
+		for _, e := range message.Result.Events {
+			keys = append(keys, string(e.KV.Key))
+		}
+		if len(keys) > 0 {
+			got = append(got, keys)
+		}
+	}
+	if d := cmp.Diff([][]string{{"w/b", "w/a"}, {"w/c", "w/a", "w/b"}}, got); d != "" {
+		t.Errorf("keys in each message (-want +got):\n%s", d)
+	}
+}
+
 // TestLostReply checks that the adapter reports a lost reply as an unknown outcome and
 // does not send the write again.
 func TestLostReply(t *testing.T) {
