Resume watches from the store's last answer

After a cut each VM whose watch had been quiet for longer than the store's history listed all keys again, all VMs at once; a reader relied on having received all changes of the last revision that it saw.

Cause: Watch did not return from where to go on. Readers took the revision of the last change; the protocol says at_revision.

--- a/core/store/gateway.go
+++ b/core/store/gateway.go
@@ -143,8 +143,9 @@
 
 type watchReply struct {
 	Result struct {
-		Canceled        bool  `json:"canceled"`
-		CompactRevision int64 `json:"compact_revision,string"`
+		Header          jsonHeader `json:"header"`
+		Canceled        bool       `json:"canceled"`
+		CompactRevision int64      `json:"compact_revision,string"`
 		Events          []struct {
 			Type string `json:"type"`
 			KV   jsonKV `json:"kv"`
@@ -272,7 +273,7 @@
 
 // Watch implements Store. Each watch has its own connection, which is closed when ctx
 // ends, since there is no other way to cancel a blocked read of the stream.
-func (g *Gateway) Watch(ctx context.Context, prefix string, from int64, fn func(Change)) error {
+func (g *Gateway) Watch(ctx context.Context, prefix string, from int64, fn func(Change)) (next int64, err error) {
 	var mu sync.Mutex
 	var conn net.Conn
 	client := &fasthttp.HostClient{
@@ -303,7 +304,7 @@
 	defer client.CloseIdleConnections()
 	body, err := json.Marshal(watchRequest{Create: watchCreate{Key: []byte(prefix), RangeEnd: PrefixEnd(prefix), Start: from}})
 	if err != nil {
-		return rcode.Wrap(err, rcode.Internal, "store.Watch")
+		return from, rcode.Wrap(err, rcode.Internal, "store.Watch")
 	}
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -314,25 +315,30 @@
 	req.SetBodyRaw(body)
 	g.calls.Add(1)
 	if err := client.Do(req, resp); err != nil {
-		return rcode.Wrap(err, rcode.StoreUnavailable, "store.Watch %s", prefix)
+		return from, rcode.Wrap(err, rcode.StoreUnavailable, "store.Watch %s", prefix)
 	}
 	defer func() { _ = resp.CloseBodyStream() }()
 	if resp.StatusCode() != fasthttp.StatusOK || resp.BodyStream() == nil {
-		return rcode.New(rcode.StoreUnavailable, "store.Watch %s: status %d", prefix, resp.StatusCode())
+		return from, rcode.New(rcode.StoreUnavailable, "store.Watch %s: status %d", prefix, resp.StatusCode())
 	}
 	dec := json.NewDecoder(resp.BodyStream())
-	for {
+	for next = from; ; {
 		var w watchReply
 		if err := dec.Decode(&w); err != nil {
-			return rcode.Wrap(err, rcode.StoreUnavailable, "store.Watch %s", prefix)
+			return next, rcode.Wrap(err, rcode.StoreUnavailable, "store.Watch %s", prefix)
 		}
 		if w.Result.Canceled && w.Result.CompactRevision > 0 {
-			return rcode.New(rcode.NotFound, "store.Watch %s: no changes from before revision %d", prefix, w.Result.CompactRevision)
+			return next, rcode.New(rcode.NotFound, "store.Watch %s: no changes from before revision %d", prefix, w.Result.CompactRevision)
 		}
 		if w.Result.Canceled {
-			return rcode.New(rcode.StoreUnavailable, "store.Watch %s: cancelled by the service", prefix)
+			return next, rcode.New(rcode.StoreUnavailable, "store.Watch %s: cancelled by the service", prefix)
 		}
+		if next <= 0 {
+			next = w.Result.Header.Revision + 1
+		}
+		// The service sends all changes of a revision in one message.
 		for _, e := range w.Result.Events {
+			next = e.KV.Mod + 1
 			fn(Change{kv: e.KV.kv(), deleted: strings.EqualFold(e.Type, "DELETE")})
 		}
 	}
--- a/core/store/gateway_test.go
+++ b/core/store/gateway_test.go
@@ -34,8 +34,8 @@
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
 	var got []string
-	err = g.Watch(ctx, "", 1, func(c store.Change) { got = append(got, c.KV().Key()) })
-	if d := cmp.Diff([]any{[]string{"a", "b"}, rcode.StoreUnavailable}, []any{got, rcode.Of(err)}); d != "" {
-		t.Errorf("changes, code (-want +got):\n%s", d)
+	next, err := g.Watch(ctx, "", 1, func(c store.Change) { got = append(got, c.KV().Key()) })
+	if d := cmp.Diff([]any{[]string{"a", "b"}, int64(3), rcode.StoreUnavailable}, []any{got, next, rcode.Of(err)}); d != "" {
+		t.Errorf("changes, next revision, code (-want +got):\n%s", d)
 	}
 }
--- a/core/store/memory.go
+++ b/core/store/memory.go
@@ -158,7 +158,7 @@
 
 // Watch implements Store. A watch that starts before the oldest revision in the log,
 // or falls behind it, ends with ErrCompacted.
-func (m *Memory) Watch(ctx context.Context, prefix string, from int64, fn func(Change)) error {
+func (m *Memory) Watch(ctx context.Context, prefix string, from int64, fn func(Change)) (next int64, err error) {
 	return m.WatchTransactions(ctx, prefix, from, func(changes []Change) {
 		for _, c := range changes {
 			fn(c)
@@ -167,14 +167,14 @@
 }
 
 // WatchTransactions is Watch with all changes of a transaction in one call of fn.
-func (m *Memory) WatchTransactions(ctx context.Context, prefix string, from int64, fn func([]Change)) error {
+func (m *Memory) WatchTransactions(ctx context.Context, prefix string, from int64, fn func([]Change)) (next int64, err error) {
 	if from <= 0 {
 		from = m.Revision() + 1
 	}
 	for {
 		batch, changed, err := m.changesSince(from)
 		if err != nil {
-			return rcode.Wrap(err, rcode.NotFound, "store.Watch %s from %d", prefix, from)
+			return from, rcode.Wrap(err, rcode.NotFound, "store.Watch %s from %d", prefix, from)
 		}
 		for len(batch) > 0 {
 			n := transactionLen(batch)
@@ -186,7 +186,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return from, ctx.Err()
 		case <-changed:
 		}
 	}
--- a/core/store/memory_test.go
+++ b/core/store/memory_test.go
@@ -116,7 +116,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			var got []int64
-			err := m.Watch(ctx, "a", tt.from, func(c store.Change) {
+			next, err := m.Watch(ctx, "a", tt.from, func(c store.Change) {
 				got = append(got, c.KV().ModRevision())
 				if c.KV().ModRevision() == 4 {
 					cancel()
@@ -125,6 +125,13 @@
 			if d := cmp.Diff(tt.want, got); d != "" {
 				t.Error(d)
 			}
+			wantNext := tt.from
+			if len(tt.want) > 0 {
+				wantNext = tt.want[len(tt.want)-1] + 1
+			}
+			if d := cmp.Diff(wantNext, next); d != "" {
+				t.Errorf("next revision:\n%s", d)
+			}
 			if d := cmp.Diff([]bool{tt.compacted, tt.compacted}, []bool{errors.Is(err, store.ErrCompacted), rcode.Is(err, rcode.NotFound)}); d != "" {
 				t.Error(err, d)
 			}
@@ -143,7 +150,7 @@
 	// The watch starts at the revision that is current when its goroutine runs, so
 	// the test writes until the first change is reported.
 	go func() {
-		_ = m.Watch(ctx, "w/", 0, func(c store.Change) { got <- c.KV().Key() })
+		_, _ = m.Watch(ctx, "w/", 0, func(c store.Change) { got <- c.KV().Key() })
 	}()
 	for len(got) == 0 {
 		commit(t, m, store.NewTxn().Put("other", nil))
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -149,7 +149,10 @@
 	// that has not succeeded.
 	Commit(ctx context.Context, t *Txn) (Result, error)
 	// Watch calls fn for each change of a key with the prefix, from revision from on,
-	// until ctx ends or the stream breaks. It returns rcode.NotFound if the store no longer
-	// has these changes, so that the caller has to list the keys again.
-	Watch(ctx context.Context, prefix string, from int64, fn func(Change)) error
+	// until ctx ends or the stream breaks. Changes come in the order of their revisions; those of
+	// one transaction have the same revision. It returns the revision from which a further
+	// watch misses nothing. It may repeat changes, so that a reader goes by the revisions of each
+	// key. The error is rcode.NotFound if the store no longer has the changes from from on, so
+	// that the caller has to list the keys again. Revision 0 is that after the present one.
+	Watch(ctx context.Context, prefix string, from int64, fn func(Change)) (next int64, err error)
 }
--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -223,19 +223,20 @@
 	}
 }
 
-// watch passes on the changes below a prefix until the term ends. If the store has
-// compacted the revisions after the last change, it lists the prefix again.
+// watch passes on the changes below a prefix after a revision until the term ends. If the store
+// has compacted the revisions from which the watch would go on, it lists the prefix again.
 func (e *Engine) watch(t *term, prefix string, rev int64, onChange func(*term, store.Change), onList func([]store.KV)) {
+	next := rev + 1
 	for t.ctx.Err() == nil {
-		err := e.guarded("watch", func() error {
-			return e.cfg.Store.Watch(t.ctx, prefix, rev+1, func(c store.Change) {
-				rev = max(rev, c.KV().ModRevision())
+		err := e.guarded("watch", func() (err error) {
+			next, err = e.cfg.Store.Watch(t.ctx, prefix, next, func(c store.Change) {
 				e.post(func() {
 					if e.term == t {
 						onChange(t, c)
 					}
 				})
 			})
+			return err
 		})
 		if t.ctx.Err() != nil {
 			return
@@ -244,13 +245,13 @@
 			<-e.clk.After(watchRetryDelay)
 			continue
 		}
-		e.log.Warn("watch history compacted, listing again", zap.String("prefix", prefix), zap.Int64("after", rev))
-		kvs, listRev, err := e.cfg.Store.List(t.ctx, prefix)
+		e.log.Warn("watch history compacted, listing again", zap.String("prefix", prefix), zap.Int64("from", next))
+		kvs, rev, err := e.cfg.Store.List(t.ctx, prefix)
 		if err != nil {
 			<-e.clk.After(watchRetryDelay)
 			continue
 		}
-		rev = listRev
+		next = rev + 1
 		e.post(func() {
 			if e.term == t {
 				onList(kvs)
--- a/entry/engine/recover_test.go
+++ b/entry/engine/recover_test.go
@@ -10,6 +10,7 @@
 
 	"limpethitch.example/core/amount"
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/events"
 	"limpethitch.example/entry/sched"
@@ -34,10 +35,10 @@
 	return kvs, rev, err
 }
 
-func (s slowStore) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) error {
+func (s slowStore) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) (int64, error) {
 	if prefix == "workers/" {
 		<-ctx.Done()
-		return ctx.Err()
+		return from, ctx.Err()
 	}
 	return s.Store.Watch(ctx, prefix, from, fn)
 }
@@ -75,7 +76,7 @@
 	release chan struct{}
 }
 
-func (s laggingStore) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) error {
+func (s laggingStore) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) (int64, error) {
 	if prefix == "workers/" {
 		<-s.release
 	}
@@ -122,3 +123,37 @@
 		}
 	}
 }
+
+// endingStore is a store whose first watch of the workers ends at once and is to go on from next.
+type endingStore struct {
+	store.Store
+	next int64
+	from chan int64
+}
+
+func (s endingStore) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) (int64, error) {
+	if prefix != "workers/" {
+		return s.Store.Watch(ctx, prefix, from, fn)
+	}
+	select {
+	case s.from <- from:
+	case <-ctx.Done():
+		return from, ctx.Err()
+	}
+	return s.next, rcode.New(rcode.StoreUnavailable, "the watch was cut")
+}
+
+// TestWorkerWatchResumes guards against an owner that misses changes of its workers, or receives old ones again,
+// because its watch goes on from another revision than the store said.
+func TestWorkerWatchResumes(t *testing.T) {
+	t.Parallel()
+	ending := endingStore{next: 1000, from: make(chan int64)}
+	newHarnessWith(t, func(cfg *Config) {
+		ending.Store = cfg.Store
+		cfg.Store = ending
+	})
+	<-ending.from
+	if diff := cmp.Diff(ending.next, <-ending.from); diff != "" {
+		t.Errorf("revision from which the watch went on (-want +got):\n%s", diff)
+	}
+}
--- a/entry/meter/meter_test.go
+++ b/entry/meter/meter_test.go
@@ -101,7 +101,7 @@
 	_, _ = st.Commit(t.Context(), store.NewTxn().Put("a", nil))
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	_ = st.Watch(ctx, "a", 0, func(store.Change) {})
+	_, _ = st.Watch(ctx, "a", 0, func(store.Change) {})
 	families, err := m.Registry().Gather()
 	if err != nil {
 		t.Fatal(err)
--- a/entry/meter/store.go
+++ b/entry/meter/store.go
@@ -38,8 +38,8 @@
 }
 
 // Watch implements store.Store.
-func (s *Store) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) error {
-	err := s.Store.Watch(ctx, prefix, from, fn)
+func (s *Store) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) (next int64, err error) {
+	next, err = s.Store.Watch(ctx, prefix, from, fn)
 	s.m.CountStoreCall("watch", rcode.Of(err))
-	return err
+	return next, err
 }
--- a/entry/roll/roll.go
+++ b/entry/roll/roll.go
@@ -258,7 +258,7 @@
 		if m.deps.Members.IsRelay() {
 			wctx, cancel := context.WithCancel(ctx)
 			go m.endWatchUnlessRelay(wctx, cancel)
-			err := m.deps.Store.Watch(wctx, headKey, 0, func(store.Change) {
+			_, err := m.deps.Store.Watch(wctx, headKey, 0, func(store.Change) {
 				select {
 				case changed <- struct{}{}:
 				default:
--- a/stand/standkv/kv.go
+++ b/stand/standkv/kv.go
@@ -239,19 +239,20 @@
 		httpd.Refuse(ctx, fasthttp.StatusBadRequest, "range_end must be empty or the end of the prefix key")
 		return
 	}
+	revision := s.mem.Revision()
 	if from <= 0 {
-		from = s.mem.Revision() + 1
+		from = revision + 1
 	}
 	// The connection is hijacked, since a handler that only writes would not notice
 	// that the client has disconnected until the next change.
 	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(c net.Conn) { s.stream(c, key, exact, from) })
+	ctx.Hijack(func(c net.Conn) { s.stream(c, key, exact, from, revision) })
 }
 
-// stream serves a watch until its client disconnects, the service goes down or the
+// stream serves a watch that was opened at a revision, until its client disconnects, the service goes down or the
 // requested changes have been compacted. All goroutines that use c end before it
 // returns, since the server then reuses the buffer of c.
-func (s *Server) stream(c net.Conn, key string, exact bool, from int64) {
+func (s *Server) stream(c net.Conn, key string, exact bool, from, revision int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	defer wg.Wait()
@@ -279,18 +280,19 @@
 	_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
 	out := httputil.NewChunkedWriter(buf)
 	send := func(r watchResult) {
-		r.Header = header{s.mem.Revision()}
+		r.Header = header{revision}
 		if json.NewEncoder(out).Encode(watchReply{r}) != nil || buf.Flush() != nil {
 			cancel()
 		}
 	}
 	send(watchResult{Created: true})
 	// As in the service, the changes of a transaction are in one message.
-	err := s.mem.WatchTransactions(ctx, key, from, func(changes []store.Change) {
+	_, err := s.mem.WatchTransactions(ctx, key, from, func(changes []store.Change) {
 		if exact {
 			changes = slices.DeleteFunc(changes, func(ch store.Change) bool { return ch.KV().Key() != key })
 		}
 		if len(changes) > 0 {
+			revision = changes[0].KV().ModRevision()
 			send(watchResult{Events: eventsOf(changes)})
 		}
 	})
--- a/stand/standkv/standkv_test.go
+++ b/stand/standkv/standkv_test.go
@@ -101,13 +101,14 @@
 func watch(ctx context.Context, g *store.Gateway, from int64) (<-chan string, <-chan error) {
 	keys, ended := make(chan string, 100), make(chan error, 1)
 	go func() {
-		ended <- g.Watch(ctx, "w/", from, func(c store.Change) {
+		_, err := g.Watch(ctx, "w/", from, func(c store.Change) {
 			if c.Deleted() {
 				keys <- "-" + c.KV().Key()
 				return
 			}
 			keys <- c.KV().Key()
 		})
+		ended <- err
 		close(keys)
 	}()
 	return keys, ended
@@ -260,7 +261,7 @@
 	if _, err := g.Commit(ctx, store.NewTxn().Put("w/1", []byte("2"))); err == nil {
 		t.Error("a write succeeded")
 	}
-	if err := g.Watch(ctx, "w/", rev, func(store.Change) { t.Error("a change was reported") }); err == nil {
+	if _, err := g.Watch(ctx, "w/", rev, func(store.Change) { t.Error("a change was reported") }); err == nil {
 		t.Error("a watch ended without an error")
 	}
 	srv.SetControl(standkv.Control{})
