--- a/core/store/store.go
+++ b/core/store/store.go
@@ -143,16 +143,17 @@
 type Store interface {
 	// Get reads one key. It returns rcode.NotFound if the key does not exist.
 	Get(ctx context.Context, key string) (KV, error)
-	// List reads all keys with a prefix and returns the store's revision at the read.
+	// List reads all keys with a prefix as they are at one revision of the store, which it
+	// returns, so that it shows transactions whole.
 	List(ctx context.Context, prefix string) ([]KV, int64, error)
 	// Commit runs a transaction. A failed condition is not an error, but a Result
 	// that has not succeeded.
 	Commit(ctx context.Context, t *Txn) (Result, error)
 	// Watch calls fn for each change of a key with the prefix, from revision from on,
 	// until ctx ends or the stream breaks. Changes come in the order of their revisions; those of
-	// one transaction have the same revision. It returns the revision from which a further
-	// watch misses nothing. It may repeat changes, so that a reader goes by the revisions of each
-	// key. The error is rcode.NotFound if the store no longer has the changes from from on, so
-	// that the caller has to list the keys again. Revision 0 is that after the present one.
+	// one transaction have the same revision, and all of them come before Watch returns. It
+	// returns the revision from which a further watch misses nothing and repeats nothing. The
+	// error is rcode.NotFound if the store no longer has the changes from from on, so that the
+	// caller has to list the keys again. From 0 on is from the next change on.
 	Watch(ctx context.Context, prefix string, from int64, fn func(Change)) (next int64, err error)
 }
