--- a/core/store/flaky/flaky.go
+++ b/core/store/flaky/flaky.go
@@ -32,6 +32,8 @@
 	store.Store
 	mu  sync.Mutex
 	rng *rand.Rand
+	// droppedRev is the revision up to which the history is dropped.
+	droppedRev int64
 }
 
 // New returns st with faults that follow from the seed and the order of the calls.
@@ -49,14 +51,18 @@
 
 // Watch implements store.Store.
 func (s *Store) Watch(ctx context.Context, prefix string, from int64, fn func(store.Change)) (next int64, err error) {
+	if s.isDropped(from) {
+		return from, rcode.New(rcode.NotFound, "flaky.Watch %s from %d: history dropped", prefix, from)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	left, isCut := s.intN(maxWatched+1), false
 	passedRev := int64(0)
 	next, err = s.Store.Watch(ctx, prefix, from, func(c store.Change) {
 		rev := c.KV().ModRevision()
-		if rev != passedRev && left == 0 {
+		if rev != passedRev && left == 0 && !isCut {
 			isCut = true
+			s.cut(rev)
 			cancel()
 		}
 		if isCut {
@@ -67,14 +73,26 @@
 		}
 		fn(c)
 	})
-	switch {
-	case !isCut:
-		return next, err
-	case s.happens(droppedHistory):
-		return from, rcode.New(rcode.NotFound, "flaky.Watch %s: history dropped", prefix)
-	default:
+	if isCut {
 		return max(from, passedRev+1), rcode.New(rcode.StoreUnavailable, "flaky.Watch %s: cut", prefix)
 	}
+	return next, err
+}
+
+// cut drops the history up to a revision, or not.
+func (s *Store) cut(rev int64) {
+	if s.happens(droppedHistory) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.droppedRev = max(s.droppedRev, rev)
+	}
+}
+
+// isDropped reports whether changes from a revision on are missing in the history.
+func (s *Store) isDropped(from int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return from > 0 && from <= s.droppedRev
 }
 
 // happens reports whether a fault of the given share happens now.
