Store the records of many maintenance waves in several transactions

With 16 waves or more that change in one round, for example requested in one transaction, no wave was recorded or reported and no VM was taken down.

Cause: the records of all waves of a round were written in one transaction, of two entries for each wave and a condition; the platform accepts 32 and refused it each time.

Change: 15 waves at a time; the steps of the others are left to the next round.

The store of all tests in engine now refuses transactions of more than 32 entries; TestWorkersAfterLostHistory writes its filler past that limit.

--- a/entry/engine/engine_test.go
+++ b/entry/engine/engine_test.go
@@ -107,7 +107,11 @@
 	return reply, ctx.Err()
 }
 
-// gatedStore is a store that refuses writes of the journal while it is closed.
+// maxEntries is the number of conditions and writes of a transaction that the platform accepts.
+const maxEntries = 32
+
+// gatedStore is a store that refuses writes of the journal while it is closed, and transactions of more
+// than maxEntries.
 type gatedStore struct {
 	*store.Memory
 	mu      sync.Mutex
@@ -124,6 +128,9 @@
 		closed = closed || g.maxValue > 0 && len(op.Value()) > g.maxValue
 	}
 	g.mu.Unlock()
+	if n := len(t.Conds()) + len(t.Ops()); n > maxEntries {
+		return store.Result{}, rcode.New(rcode.StoreUnavailable, "a transaction of %d entries", n)
+	}
 	if closed && len(t.Ops()) > 0 && len(t.Ops()[0].Key()) > 4 && t.Ops()[0].Key()[:4] == events.Prefix {
 		select {
 		case g.refused <- struct{}{}:
--- a/entry/engine/maintenance.go
+++ b/entry/engine/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -48,6 +49,9 @@
 const (
 	// vmListInterval is the time between two reads of the VM list while a wave is open.
 	vmListInterval = 700 * time.Millisecond
+	// maxStoredWaves bounds the waves that one transaction stores: the platform accepts 32
+	// entries, two for each wave and one for the condition on the term.
+	maxStoredWaves = 15
 	// fleetTimeout bounds a call to the platform and the store for maintenance.
 	fleetTimeout = 2 * time.Second
 )
@@ -166,9 +170,36 @@
 	}()
 }
 
+// deferWaves returns the steps without those of the waves whose records do not fit into one
+// transaction. The plan returns these again.
+func (m *maintenance) deferWaves(steps []upkeep.Step) []upkeep.Step {
+	stored, deferred := 0, make(map[int64]bool)
+	for _, s := range steps {
+		r, ok := s.(upkeep.StoreRecord)
+		if !ok {
+			continue
+		}
+		if stored++; stored > maxStoredWaves {
+			deferred[r.Record.Number] = true
+			m.plan.MarkUnstored(r.Record.Number)
+		}
+	}
+	return slices.DeleteFunc(steps, func(s upkeep.Step) bool {
+		switch s := s.(type) {
+		case upkeep.StoreRecord:
+			return deferred[s.Record.Number]
+		case upkeep.TakeDown:
+			return deferred[s.Wave]
+		default:
+			return false
+		}
+	})
+}
+
 // executeSteps stores the records of the waves and then sends the orders, so that a
 // new owner knows of every VM that may have been ordered down.
 func (e *Engine) executeSteps(t *term, steps []upkeep.Step) {
+	steps = t.maintenance.deferWaves(steps)
 	txn := store.NewTxn().If(lead.TermKey, t.Token())
 	var records []upkeep.Record
 	var orders []upkeep.TakeDown
--- a/entry/engine/maintenance_test.go
+++ b/entry/engine/maintenance_test.go
@@ -115,6 +115,35 @@
 	}
 }
 
+// TestManyWaves guards against waves of which no record is ever stored, because operators requested so many
+// at once that their records are more than a transaction may have.
+func TestManyWaves(t *testing.T) {
+	t.Parallel()
+	const waves = 32
+	h := newHarnessWith(t, func(cfg *Config) { cfg.Fleet = &fakeFleet{st: cfg.Store} })
+	requested, want := make(map[int64]upkeep.Wave), make(map[string]string)
+	for n := range int64(waves) {
+		requested[n] = upkeep.NewWave(n, []string{"removed"}, clock.New().Now(), 1)
+		key, complete := (&fakeFleet{}).WaveStatus(n, true)
+		want[key] = string(complete)
+	}
+	h.engine.SetWaves(requested)
+	var got map[string]string
+	for end := time.Now().Add(10 * time.Second); !cmp.Equal(want, got) && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		kvs, _, err := h.store.List(h.ctx, "status/")
+		if err != nil {
+			t.Fatal(err)
+		}
+		got = make(map[string]string)
+		for _, kv := range kvs {
+			got[kv.Key()] = string(kv.Value())
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("stored states of the waves (-want +got):\n%s", diff)
+	}
+}
+
 // TestMaintenanceTakeover guards against a start on a worker whose VM the former owner may
 // have ordered down, while the new owner waits with its own order.
 func TestMaintenanceTakeover(t *testing.T) {
--- a/entry/engine/recover_test.go
+++ b/entry/engine/recover_test.go
@@ -101,7 +101,7 @@
 	for i := range 30_000 {
 		others.Put("other/"+strconv.Itoa(i), nil)
 	}
-	if _, err := h.store.Commit(h.ctx, others); err != nil {
+	if _, err := h.store.Memory.Commit(h.ctx, others); err != nil {
 		t.Fatal(err)
 	}
 	close(lagging.release)
