Read a refused job once more before an attempt is told that it never runs

An attempt that was held up could be answered LH2008 (never runs) while its caller's return was accepted by another VM.

Cause: the job and its refusal are read one after the other; the job may be stored in between.

Change: after a refusal was read the job is read again.

Test that failed before: TestRefusedForLoad, row 'stored between the reads of an earlier attempt', in 3 of 3 runs; 3 of 3 passed since (-race, all of accept).

--- a/entry/accept/load.go
+++ b/entry/accept/load.go
@@ -98,16 +98,30 @@
 // rcode.OverLimit and the revision of its refusal. If neither can be read, the outcome is
 // unknown.
 func (s *Service) whyNotStored(ctx context.Context, id string) (rcode.Code, int64) {
-	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if _, err := s.cfg.Store.Get(callCtx, engine.JobPrefix+id); err == nil {
-		return rcode.OK, 0
-	} else if rcode.Of(err) != rcode.NotFound {
-		return rcode.OutcomeUnknown, 0
+	if code := s.readJob(ctx, id); code != rcode.NotFound {
+		return code, 0
 	}
-	kv, err := s.cfg.Store.Get(callCtx, engine.RefusalPrefix+id)
+	refusal, err := s.cfg.Store.Get(ctx, engine.RefusalPrefix+id)
 	if err != nil {
 		return rcode.OutcomeUnknown, 0
 	}
-	return rcode.OverLimit, kv.ModRevision()
+	// The caller may have returned to another VM, which stored the job after the first read.
+	if code := s.readJob(ctx, id); code != rcode.NotFound {
+		return code, 0
+	}
+	return rcode.OverLimit, refusal.ModRevision()
+}
+
+// readJob returns rcode.OK if a job is stored, rcode.NotFound if not, and rcode.OutcomeUnknown if
+// the store does not say.
+func (s *Service) readJob(ctx context.Context, id string) rcode.Code {
+	_, err := s.cfg.Store.Get(ctx, engine.JobPrefix+id)
+	switch rcode.Of(err) {
+	case rcode.OK, rcode.NotFound:
+		return rcode.Of(err)
+	default:
+		return rcode.OutcomeUnknown
+	}
 }
--- a/entry/accept/load_test.go
+++ b/entry/accept/load_test.go
@@ -23,11 +23,20 @@
 const loadJob = "00000000000000aa"
 
 // interceptedStore passes transactions to intercept before they are run. If it returns false
-// the caller gets no answer, and the transaction can be run later with land.
+// the caller gets no answer, and the transaction can be run later with land. It calls beforeGet before
+// each read of a key.
 type interceptedStore struct {
 	*store.Memory
 	intercept func(*store.Txn) bool
 	held      []*store.Txn
+	beforeGet func(key string)
+}
+
+func (s *interceptedStore) Get(ctx context.Context, key string) (store.KV, error) {
+	if s.beforeGet != nil {
+		s.beforeGet(key)
+	}
+	return s.Memory.Get(ctx, key)
 }
 
 func (s *interceptedStore) Commit(ctx context.Context, t *store.Txn) (store.Result, error) {
@@ -94,7 +103,8 @@
 	tests := map[string]struct {
 		// steps are attempts at VMs without figures (calm), with figures (loaded) and without the
 		// store (cut). A lost attempt's write is not answered, and runs when it lands; one that is
-		// slow, or goes on after its lost write, has an attempt at the loaded VM come between.
+		// slow, or goes on after its lost write, has an attempt at the loaded VM come between. One that is
+		// overtaken has, besides, the caller return to another VM between two of its reads.
 		steps  []string
 		want   []rcode.Code
 		stored bool
@@ -105,6 +115,7 @@
 		"an earlier write lands before the refusal":      {steps: []string{"calm lost", "land", "loaded"}, want: []rcode.Code{unknown, ok}, stored: true},
 		"refused while an earlier attempt goes on":       {steps: []string{"calm goes on", "land"}, want: []rcode.Code{refused, refused}},
 		"an earlier attempt is held up before its write": {steps: []string{"calm slow"}, want: []rcode.Code{refused, refused}},
+		"stored between the reads of an earlier attempt": {steps: []string{"calm overtaken"}, want: []rcode.Code{refused, ok, ok}, stored: true},
 		"the caller returns to another VM":               {steps: []string{"loaded", "calm"}, want: []rcode.Code{refused, ok}, stored: true},
 		"refused again, then returned":                   {steps: []string{"loaded", "loaded", "calm"}, want: []rcode.Code{refused, refused, ok}, stored: true},
 		"a return's write lands after the next refusal":  {steps: []string{"loaded", "calm lost", "loaded", "land"}, want: []rcode.Code{refused, unknown, refused}},
@@ -116,6 +127,7 @@
 			t.Parallel()
 			st := &interceptedStore{Memory: store.NewMemory()}
 			calm, clk := newService(st, &fakePeers{unreachable: true, delivered: make(chan string, 8)})
+			other, _ := newService(st, &fakePeers{unreachable: true, delivered: make(chan string, 8)})
 			cut, _ := newService(&scriptedStore{Memory: store.NewMemory(), writes: []rcode.Code{rcode.StoreUnavailable}}, &fakePeers{remote: calm})
 			cut.AddMembers([]string{"a1"})
 			loaded, overload := newLoadedService(t, st, &fakePeers{unreachable: true, delivered: make(chan string, 8)})
@@ -124,7 +136,7 @@
 			refuse := func() { got = append(got, submitLoadJob(loaded, oneStep)) }
 			for _, step := range tt.steps {
 				build, vm := oneStep, calm
-				st.intercept = nil
+				st.intercept, st.beforeGet = nil, nil
 				switch step {
 				case "land":
 					st.land()
@@ -143,7 +155,15 @@
 						refuse()
 						return false
 					}
-				case "calm slow":
+				case "calm slow", "calm overtaken":
+					if step == "calm overtaken" {
+						st.beforeGet = func(key string) {
+							if key == engine.RefusalPrefix+loadJob {
+								st.beforeGet = nil
+								got = append(got, submitLoadJob(other, oneStep))
+							}
+						}
+					}
 					build = func(id string) (*graph.Job, error) {
 						refuse()
 						clk.Advance(maxReturnAge)
