Do not wait for leases of former owners that have certainly ended

Cause: a worker that no lease note lists is waited for 16 s after a takeover, since a former owner that is cut off may extend leases for 8 s; also when the new owner is the next process of the same VM.

Change: a takeover notes whether the holder of the record has certainly ended (released, an earlier process at this address, another incarnation at the holder's), and the record whether those before it have. If all have, the new owner waits for orders under way (2 s) and the longest lease. A refused connection is not evidence. MaxOrderTime is exported by sched for that.

Tests that failed before: TestFormersEnded, TestFormerLeaseTTL (new functions; they did not compile).

--- a/entry/engine/recover.go
+++ b/entry/engine/recover.go
@@ -56,7 +56,7 @@
 		PastUseHalfLife: e.cfg.PastUseHalfLife,
 
 		AvoidSlowWorkers: e.cfg.AvoidSlowWorkers,
-		FormerLeaseTTL:   max(lead.LeaseAuthorityDuration+e.maxLeaseOnWorker(), sched.FenceTTL+e.leaseCap()),
+		FormerLeaseTTL:   e.formerLeaseTTL(lt),
 		MaxLease:         e.maxLeaseOnWorker(),
 		LeaseCap:         e.leaseCap(),
 	})
@@ -82,6 +82,15 @@
 	}()
 }
 
+// formerLeaseTTL returns how long after the takeover leases that former owners extended may last. If
+// these have ended, only orders that were under way then extend leases.
+func (e *Engine) formerLeaseTTL(lt lead.Term) time.Duration {
+	if lt.FormersEnded() {
+		return max(e.maxLeaseOnWorker(), sched.MaxOrderTime+e.leaseCap())
+	}
+	return max(lead.LeaseAuthorityDuration+e.maxLeaseOnWorker(), sched.FenceTTL+e.leaseCap())
+}
+
 // maxLeaseOnWorker returns how long a lease may last, measured on this VM's clock, if
 // the worker's clock runs slow.
 func (e *Engine) maxLeaseOnWorker() time.Duration {
--- a/entry/engine/recover_test.go
+++ b/entry/engine/recover_test.go
@@ -13,6 +13,7 @@
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/events"
+	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/sched"
 )
 
@@ -157,3 +158,31 @@
 		t.Errorf("revision from which the watch went on (-want +got):\n%s", diff)
 	}
 }
+
+// TestFormerLeaseTTL guards against a new owner that starts tasks again while a lease lasts that a former owner
+// extended, and against one that waits for owners that have ended: a worker that fell silent just before its
+// owner's end kept its tasks for 16 s.
+func TestFormerLeaseTTL(t *testing.T) {
+	t.Parallel()
+	h := newHarnessWith(t, func(cfg *Config) { cfg.LeaseCap = 10 * time.Second })
+	h.submit(t)
+	h.waitForStatus(t, func(s JobStatus) bool { return s.State.Final() })
+	ended, ok := h.elector.Term()
+	if !ok || !ended.FormersEnded() {
+		t.Fatalf("owner %v, former owners ended %v", ok, ended.FormersEnded())
+	}
+	tests := map[string]struct {
+		term lead.Term
+		want time.Duration
+	}{
+		// Orders under way arrive within 2 s; the longest lease is 10 s, and 3% for clocks.
+		"former owners ended": {term: ended, want: 12_300 * time.Millisecond},
+		// A former owner may extend leases of 7 s, and 3%, for 8 s.
+		"a former owner may be cut off": {want: 8*time.Second + 7_210*time.Millisecond + messageDelaySlack},
+	}
+	for name, tt := range tests {
+		if diff := cmp.Diff(tt.want, h.engine.formerLeaseTTL(tt.term)); diff != "" {
+			t.Errorf("%s: leases last after the takeover (-want +got):\n%s", name, diff)
+		}
+	}
+}
--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -59,6 +59,10 @@
 	outageTakeoverAfter = 700 * time.Millisecond
 	probeTimeout        = 300 * time.Millisecond
 
+	// formersEndTime is how long after a takeover every former owner's lease authority has ended:
+	// LeaseAuthorityDuration and 3% for clock drift.
+	formersEndTime = LeaseAuthorityDuration * 103 / 100
+
 	renewInterval = 400 * time.Millisecond
 	// renewRetryDelay is the pause after a renewal that failed.
 	renewRetryDelay = 50 * time.Millisecond
@@ -103,6 +107,9 @@
 	// LeaseNotesSince is the value of Term.LeaseNotesSince. Builds that do not keep to lease
 	// notes write records without it.
 	LeaseNotesSince int64 `json:"lease_notes_since,omitempty"`
+	// FormersEnded is set once no owner before the holder extends leases any more. Builds that
+	// do not know of it write records without it.
+	FormersEnded bool `json:"formers_ended,omitempty"`
 }
 
 // Term is one uninterrupted period of ownership.
@@ -111,6 +118,7 @@
 	token int64
 
 	leaseNotesSince int64
+	formersEnded    bool
 }
 
 // Epoch returns the number of the term, which rises with each takeover.
@@ -125,6 +133,11 @@
 // count, because an owner in between may have extended any lease.
 func (t Term) LeaseNotesSince() int64 { return t.leaseNotesSince }
 
+// FormersEnded reports whether no former owner sent an order after this term's takeover, and not only
+// whether it lost the authority to decide: a former owner that cannot reach the store may extend
+// leases for LeaseAuthorityDuration.
+func (t Term) FormersEnded() bool { return t.formersEnded }
+
 // ProbeResult is the result of a probe of the owner's address.
 type ProbeResult string
 
@@ -182,6 +195,7 @@
 	term          Term
 	isOwner       bool
 	renewedAt     clock.Mono // just before the last successful renewal was sent
+	takenOverAt   clock.Mono // just before this VM's last takeover was sent
 	released      bool       // this VM gave up ownership for good
 	// transferFrom is the address of the holder that asked this VM to take over.
 	transferFrom string
@@ -279,8 +293,8 @@
 	}
 	start := e.clk.Now()
 	e.refresh(ctx)
-	if e.mayTakeOver(ctx) {
-		e.takeOver(ctx)
+	if ok, holderEnded := e.mayTakeOver(ctx); ok {
+		e.takeOver(ctx, holderEnded)
 	}
 	if _, ok := e.Term(); ok {
 		return renewInterval
@@ -295,10 +309,12 @@
 	return readInterval
 }
 
-// mayTakeOver reports whether this VM may take over now. It may probe the owner.
-func (e *Elector) mayTakeOver(ctx context.Context) bool {
+// mayTakeOver reports whether this VM may take over now, and whether the holder of the record
+// certainly sends no more orders: it released the record, or another process has its address. It may
+// probe the owner. A refused connection is no such evidence, as a network may refuse as well.
+func (e *Elector) mayTakeOver(ctx context.Context) (ok, holderEnded bool) {
 	if e.cfg.Eligible != nil && !e.cfg.Eligible() {
-		return false
+		return false, false
 	}
 	e.mu.Lock()
 	now := e.clk.Now()
@@ -308,34 +324,35 @@
 	transferRequested := e.transferFrom != "" && e.transferFrom == holder.Addr
 	e.transferFrom = ""
 	e.mu.Unlock()
+	// A takeover of this VM whose reply was lost began no term. An earlier process on this VM has
+	// ended, or this one could not listen at its address.
+	ended := free || holder == e.cfg.Self || holder.VM == e.cfg.Self.VM && holder.Addr == e.cfg.Self.Addr
 	switch {
 	case !allowed:
-		return false
+		return false, false
 	case transferRequested, free && unchangedFor >= e.takeoverDelay(), unchangedFor >= TakeoverAfter+e.takeoverDelay():
-		return true
+		return true, ended
 	case holder == e.cfg.Self:
-		// The reply to this VM's own takeover was lost.
-		return true
+		return true, ended
 	case holder.VM == e.cfg.Self.VM && unchangedFor >= e.takeoverDelay():
-		// The holder is an earlier process on this VM.
-		return true
+		return true, ended
 	case unchangedFor < renewInterval || e.cfg.Prober == nil:
-		return false
+		return false, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	switch e.cfg.Prober.Probe(ctx, holder, e.cfg.Self) {
 	case ProbeReplaced:
 		e.log.Info("owner replaced by another incarnation", zap.String("owner", holder.Name))
-		return unchangedFor >= e.takeoverDelay()
+		return unchangedFor >= e.takeoverDelay(), true
 	case ProbeRefused:
-		return unchangedFor >= refusedTakeoverAfter+e.takeoverDelay()
+		return unchangedFor >= refusedTakeoverAfter+e.takeoverDelay(), ended
 	case ProbeInconclusive:
-		return sinceRevSeen >= TakeoverAfter && unchangedFor >= outageTakeoverAfter+e.takeoverDelay()
+		return sinceRevSeen >= TakeoverAfter && unchangedFor >= outageTakeoverAfter+e.takeoverDelay(), ended
 	case ProbeAlive:
-		return false
+		return false, false
 	default:
-		return false
+		return false, false
 	}
 }
 
@@ -346,10 +363,14 @@
 	return e.cfg.TakeoverDelay()
 }
 
-// takeOver tries to make this VM the owner.
-func (e *Elector) takeOver(ctx context.Context) {
+// takeOver tries to make this VM the owner. holderEnded is whether the record's holder certainly
+// sends no more orders.
+func (e *Elector) takeOver(ctx context.Context, holderEnded bool) {
 	e.mu.Lock()
-	next := record{Holder: e.cfg.Self, Epoch: e.rec.Epoch + 1, LeaseNotesSince: e.rec.LeaseNotesSince}
+	next := record{
+		Holder: e.cfg.Self, Epoch: e.rec.Epoch + 1, LeaseNotesSince: e.rec.LeaseNotesSince,
+		FormersEnded: e.rev == 0 || holderEnded && e.rec.FormersEnded,
+	}
 	if next.LeaseNotesSince == 0 {
 		next.LeaseNotesSince = next.Epoch
 	}
@@ -362,8 +383,8 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.rec, e.rev, e.isOwner, e.renewedAt = next, newRev, true, sent
-	e.term = Term{epoch: next.Epoch, token: newRev, leaseNotesSince: next.LeaseNotesSince}
-	e.log.Info("took over ownership", zap.Int64("epoch", next.Epoch), zap.Int64("token", newRev))
+	e.rec, e.rev, e.isOwner, e.renewedAt, e.takenOverAt = next, newRev, true, sent, sent
+	e.term = Term{epoch: next.Epoch, token: newRev, leaseNotesSince: next.LeaseNotesSince, formersEnded: next.FormersEnded}
+	e.log.Info("took over ownership", zap.Int64("epoch", next.Epoch), zap.Int64("token", newRev), zap.Bool("formers_ended", next.FormersEnded))
 	e.notifyChanged()
 }
--- a/entry/lead/lead_test.go
+++ b/entry/lead/lead_test.go
@@ -328,3 +328,92 @@
 		})
 	}
 }
+
+// TestFormersEnded guards against an owner that takes former owners as ended while one of them, cut off from
+// the store, still extends leases: it would start tasks again that still run. It also guards against one that
+// waits for the leases of owners that certainly ended.
+func TestFormersEnded(t *testing.T) {
+	t.Parallel()
+	const second = 1
+	timeout := func(p *electorPair) { p.run(TakeoverAfter+time.Second, second) }
+	probe := func(result ProbeResult) func(p *electorPair) {
+		return func(p *electorPair) { p.probers[second].result = result; timeout(p) }
+	}
+	earlierProcess := func(addr string) func(p *electorPair) {
+		return func(p *electorPair) {
+			p.electors[second] = New(Config{Store: p.stores[second], Self: Holder{VM: "vm0", Name: "vm0-b", Addr: addr}}, p.clk, zap.NewNop())
+			p.run(time.Second, second)
+		}
+	}
+	putRecord := func(record string) func(p *electorPair) {
+		return func(p *electorPair) {
+			_, _ = p.mem.Commit(context.Background(), store.NewTxn().Put(RecordKey, []byte(record))) // never fails
+			p.run(time.Second, second)
+		}
+	}
+	// back has the first VM take over from the second one, which another process has replaced.
+	back := func(p *electorPair) { p.probers[0].result = ProbeReplaced; p.run(time.Second, 0) }
+	tests := map[string]struct {
+		do   []func(p *electorPair)
+		want bool
+	}{
+		"released":                                   {do: []func(p *electorPair){(*electorPair).releaseFirst, timeout}, want: true},
+		"replaced by another process":                {do: []func(p *electorPair){probe(ProbeReplaced)}, want: true},
+		"earlier process on the same VM":             {do: []func(p *electorPair){earlierProcess("a0")}, want: true},
+		"earlier process, another address":           {do: []func(p *electorPair){earlierProcess("a9")}},
+		"silent":                                     {do: []func(p *electorPair){timeout}},
+		"connection refused":                         {do: []func(p *electorPair){probe(ProbeRefused)}},
+		"record of an earlier build, released":       {do: []func(p *electorPair){putRecord(`{"holder":{"vm":"vm9"},"epoch":6,"released":true}`)}},
+		"unreadable record":                          {do: []func(p *electorPair){putRecord("{")}},
+		"silent, then replaced soon":                 {do: []func(p *electorPair){timeout, back}},
+		"silent, then a long term, then replaced":    {do: []func(p *electorPair){timeout, func(p *electorPair) { p.run(formersEndTime, second) }, back}, want: true},
+		"silent, then a shorter term, then replaced": {do: []func(p *electorPair){timeout, func(p *electorPair) { p.run(formersEndTime-3*time.Second, second) }, back}},
+		"without the store, asks to take over": {do: []func(p *electorPair){func(p *electorPair) {
+			p.stores[0].set(true, false)
+			p.electors[second].TransferRequested(p.holders[0])
+			p.run(time.Second, second)
+		}}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newElectorPair()
+			p.run(300*time.Millisecond, 0)
+			first, ok := p.electors[0].Term()
+			if !ok || !first.FormersEnded() {
+				t.Errorf("first owner %v, formers ended %v", ok, first.FormersEnded())
+			}
+			p.run(300*time.Millisecond, 0, second)
+			for _, do := range tt.do {
+				do(p)
+			}
+			var last Term
+			for _, e := range p.electors {
+				if term, ok := e.Term(); ok && term.Epoch() > last.Epoch() {
+					last = term
+				}
+			}
+			if last.Epoch() <= first.Epoch() {
+				t.Fatal("no takeover")
+			}
+			if diff := cmp.Diff(tt.want, last.FormersEnded()); diff != "" {
+				t.Errorf("former owners ended, term %+v (-want +got):\n%s", last, diff)
+			}
+		})
+	}
+}
+
+// TestFormersEndedAfterLostReply guards against a takeover whose reply was lost that makes this VM wait for
+// leases of its own: it began no term.
+func TestFormersEndedAfterLostReply(t *testing.T) {
+	t.Parallel()
+	p := newElectorPair()
+	p.stores[0].set(false, true)
+	p.run(300*time.Millisecond, 0)
+	p.stores[0].set(false, false)
+	p.run(300*time.Millisecond, 0)
+	term, ok := p.electors[0].Term()
+	if diff := cmp.Diff([]bool{true, true}, []bool{ok, term.FormersEnded()}); diff != "" || term.Epoch() < 2 {
+		t.Errorf("owner, former owners ended (-want +got), epoch %d:\n%s", term.Epoch(), diff)
+	}
+}
--- a/entry/lead/record.go
+++ b/entry/lead/record.go
@@ -77,6 +77,7 @@
 	e.mu.Lock()
 	next := e.rec
 	next.Renewals++
+	next.FormersEnded = next.FormersEnded || e.clk.Now().Sub(e.takenOverAt) >= formersEndTime
 	rev := e.rev
 	e.mu.Unlock()
 	sent := e.clk.Now()
--- a/entry/sched/fence.go
+++ b/entry/sched/fence.go
@@ -28,9 +28,9 @@
 	// It bounds the time for which orders for the former incarnation can still be executed after
 	// another VM has taken over.
 	FenceTTL = 5 * time.Second
-	// maxOrderTime is how long runs on a worker that does not answer wait for orders under way to
+	// MaxOrderTime is how long runs on a worker that does not answer wait for orders under way to
 	// it. It covers all tries of a start; some orders are later, up to maxOrderDelay.
-	maxOrderTime = 2 * time.Second
+	MaxOrderTime = 2 * time.Second
 )
 
 // fenceRestarted records the restarts for which no token was raised yet.
@@ -95,7 +95,7 @@
 	if w.orderedAt == 0 || w.fence == fenceNone && settled {
 		return w.leaseExpiry
 	}
-	return max(w.leaseExpiry, w.orderedAt.Add(maxOrderTime+s.cfg.LeaseCap))
+	return max(w.leaseExpiry, w.orderedAt.Add(MaxOrderTime+s.cfg.LeaseCap))
 }
 
 // markDeparted remembers a removed worker. If one with its id is listed soon, orders that were
--- a/entry/sched/fence_test.go
+++ b/entry/sched/fence_test.go
@@ -68,7 +68,7 @@
 // order for a former incarnation of its worker can have begun it there.
 func TestLeaseEnd(t *testing.T) {
 	t.Parallel()
-	const short, long = testLease, maxOrderTime + 10*time.Second
+	const short, long = testLease, MaxOrderTime + 10*time.Second
 	tests := map[string]struct {
 		outcome StartOutcome
 		listed  bool
