Make room for a connection only once another client waits for it

Cause: the listener looked for a victim before it accepted the next connection.

Change: it accepts first. The accepted connection waits for room unserved, so that one more than the share may be open.

--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -214,6 +214,11 @@
 	}
 	busy.Whole()
 	l.retry(t)
+	waiting, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = waiting.Close() }()
 	for deadline := time.Now().Add(10 * time.Second); !busy.Evicted(); time.Sleep(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("the busy connection is not to make room")
@@ -227,6 +232,23 @@
 	}
 }
 
+// TestNoEvictionForNobody guards against a connection that is closed to make room although no other client
+// waits for it: a listener whose last connection was just taken closed the least active one.
+func TestNoEvictionForNobody(t *testing.T) {
+	t.Parallel()
+	l := newTestListener(t, Share{conns: 1})
+	_, c := l.connect(t)
+	failed := read(c)
+	awaitReading(t, c)
+	for range 50 {
+		l.clk.Advance(retryDelay)
+		time.Sleep(time.Millisecond)
+	}
+	if c.Evicted() {
+		t.Errorf("the only connection makes room for no other: %v", <-failed)
+	}
+}
+
 // TestRefusalIsRead guards against a refusal that the client loses because the connection is
 // reset while it sends the rest of its request.
 func TestRefusalIsRead(t *testing.T) {
--- a/core/limit/listener.go
+++ b/core/limit/listener.go
@@ -62,20 +62,18 @@
 	return l.Listener.Close()
 }
 
-// Accept implements net.Listener. Without room it closes the connection of the least active
-// client and waits; new clients wait in the kernel's queue meanwhile.
+// Accept implements net.Listener. Without room for a new client it closes the connection of the
+// least active one and waits; further clients wait in the kernel's queue meanwhile. So one
+// connection more than the share may be open, which is not served yet.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
-		for l.count() >= l.cfg.Share.conns {
-			l.evict(anyConn)
-			if !l.pause(l.freed) {
-				return nil, net.ErrClosed
-			}
-		}
 		conn, err := l.Listener.Accept()
 		switch {
-		case err == nil:
+		case err == nil && l.makeRoom():
 			return l.add(conn), nil
+		case err == nil:
+			_ = conn.Close()
+			return nil, net.ErrClosed
 		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE):
 			l.evict(anyConn)
 		case errors.Is(err, syscall.ECONNABORTED):
@@ -88,6 +86,17 @@
 	}
 }
 
+// makeRoom waits until a connection may be added. It returns false if the listener was closed.
+func (l *Listener) makeRoom() bool {
+	for l.count() >= l.cfg.Share.conns {
+		l.evict(anyConn)
+		if !l.pause(l.freed) {
+			return false
+		}
+	}
+	return true
+}
+
 // pause waits for wake or retryDelay. It returns false if the listener was closed.
 func (l *Listener) pause(wake <-chan struct{}) bool {
 	select {
