--- a/entry/lead/lead.go
+++ b/entry/lead/lead.go
@@ -133,9 +133,8 @@
 // count, because an owner in between may have extended any lease.
 func (t Term) LeaseNotesSince() int64 { return t.leaseNotesSince }
 
-// FormersEnded reports whether no former owner sent an order after this term's takeover, and not only
-// whether it lost the authority to decide: a former owner that cannot reach the store may extend
-// leases for LeaseAuthorityDuration.
+// FormersEnded reports whether no former owner can have sent an order since this term's takeover.
+// Otherwise one that cannot reach the store may extend leases for LeaseAuthorityDuration.
 func (t Term) FormersEnded() bool { return t.formersEnded }
 
 // ProbeResult is the result of a probe of the owner's address.
@@ -324,8 +323,9 @@
 	transferRequested := e.transferFrom != "" && e.transferFrom == holder.Addr
 	e.transferFrom = ""
 	e.mu.Unlock()
-	// A takeover of this VM whose reply was lost began no term. An earlier process on this VM has
-	// ended, or this one could not listen at its address.
+	// This VM sends no more orders of a term that it lost, or that it never began because the reply
+	// to its takeover was lost. An earlier process on this VM has ended, or this one could not
+	// listen at its address.
 	ended := free || holder == e.cfg.Self || holder.VM == e.cfg.Self.VM && holder.Addr == e.cfg.Self.Addr
 	switch {
 	case !allowed:
--- a/stand/standkv/kv.go
+++ b/stand/standkv/kv.go
@@ -249,9 +249,9 @@
 	ctx.Hijack(func(c net.Conn) { s.stream(c, key, exact, from, revision) })
 }
 
-// stream serves a watch that was opened at a revision, until its client disconnects, the service goes down or the
-// requested changes have been compacted. All goroutines that use c end before it
-// returns, since the server then reuses the buffer of c.
+// stream serves a watch that was opened at a revision, until its client disconnects, the
+// service goes down or the requested changes have been compacted. All goroutines that use
+// c end before it returns, since the server then reuses the buffer of c.
 func (s *Server) stream(c net.Conn, key string, exact bool, from, revision int64) {
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
