--- a/review/stand3/cases.go
+++ b/review/stand3/cases.go
@@ -387,3 +387,134 @@
 	defer a.mu.Unlock()
 	return !a.broken
 }
+
+// lateAck: a minion leaves a start and a poll unanswered, restarts under its id and carries both out then: the
+// task runs to its end, and the poll's acknowledgement, meant for the former life, removes this end.
+func lateAck(w *world, trouble bool) bool {
+	const (
+		machines = 12
+		id       = "4e5f60718293a4b5"
+		// lateTime is the least time after which an order is carried out late.
+		lateTime = 2 * time.Second
+	)
+	var mu sync.Mutex
+	var victim *minion
+	var start, poll keptOrder
+	var pollAt time.Time
+	var isDark bool
+	seen := make(chan struct{}, 1000)
+	if trouble {
+		w.keeps = func(n *minion, o keptOrder) bool {
+			mu.Lock()
+			defer mu.Unlock()
+			text := string(o.body)
+			switch {
+			case isDark && n == victim:
+				if o.path == "/v1/hold" {
+					seen <- struct{}{}
+				}
+				return true
+			case o.path == "/v1/run-start" && strings.Contains(text, id) && (victim == nil || n == victim):
+				if victim == nil {
+					victim, start = n, o
+				}
+				w.rec.line("minion %s leaves unanswered: %s %s", n.id, o.path, o.body)
+				return true
+			case n == victim && o.path == "/v1/hold" && pollAt.IsZero() && !strings.Contains(text, `"observed":0`):
+				poll, pollAt = o, time.Now()
+				w.rec.line("minion %s leaves unanswered: %s %s", n.id, o.path, o.body)
+				return true
+			default:
+				return false
+			}
+		}
+	}
+	var startedAgain bool
+	var done, noted bool
+	w.onBegan = func(n *minion, a *run) {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(a.task, id) && done && noted {
+			startedAgain = true
+			w.rec.line("task %s starts on %s after its end as done was taken note of", a.task, n.id)
+		}
+	}
+	w.onOver = func(_ *minion, a *run, how string) {
+		mu.Lock()
+		defer mu.Unlock()
+		done = done || strings.HasPrefix(a.task, id) && how == "done"
+	}
+	w.onNoted = func(row []any) {
+		mu.Lock()
+		defer mu.Unlock()
+		if strings.HasPrefix(row[1].(string), id) && row[3] == "done" {
+			noted = true
+			w.rec.line("the end of %s as done is taken note of", row[1])
+		}
+	}
+	w.setUp(machines, 32000)
+	// Each minion has a run that ended, so that polls acknowledge the first end.
+	const first = "0a1b2c3d4e5f6071"
+	status, _ := w.call(w.vms[0], "POST", prefix+first, job{Spec: "100", Steps: []step{
+		{Count: machines, CPU: 2000, MemMB: 1024, EstimateMS: 100, AntiAffinity: 1},
+	}}, deadlineMS*time.Millisecond)
+	if status != 200 {
+		w.fail("the first job was answered %d", status)
+	}
+	w.await("end of the first job", 10*time.Second, func() bool { return w.get(w.vms[1], first, time.Second) == "completed" })
+	time.Sleep(3 * time.Second)
+	status, _ = w.call(w.vms[0], "POST", prefix+id, job{Spec: "60", Steps: []step{{Count: 1, CPU: 2000, MemMB: 1024, EstimateMS: 60}}},
+		deadlineMS*time.Millisecond)
+	if status != 200 {
+		w.fail("the job was answered %d", status)
+	}
+	if trouble {
+		w.await("poll that is left unanswered", 5*time.Second, func() bool {
+			mu.Lock()
+			defer mu.Unlock()
+			return !pollAt.IsZero()
+		})
+		time.Sleep(100 * time.Millisecond)
+		mu.Lock()
+		isDark = true
+		mu.Unlock()
+		victim.die("crash")
+		time.Sleep(time.Until(pollAt.Add(lateTime)))
+		for len(seen) > 0 {
+			<-seen
+		}
+		select {
+		case <-seen:
+		case <-time.After(5 * time.Second):
+			w.fail("the minion is not polled any more")
+		}
+		time.Sleep(50 * time.Millisecond)
+		w.rebirth(victim, start, poll)
+	}
+	w.holds(30*time.Second, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return startedAgain
+	})
+	w.rec.line("the job is shown as %s", w.get(w.vms[2], id, deadlineMS*time.Millisecond))
+	mu.Lock()
+	defer mu.Unlock()
+	return !startedAgain
+}
+
+// rebirth starts a minion again under its id and has it carry out two orders that were meant for its former
+// life.
+func (w *world) rebirth(old *minion, start, poll keptOrder) {
+	w.cloud.mu.Lock()
+	i := slices.IndexFunc(w.cloud.machines, func(m *machine) bool { return m.minion == old })
+	m := w.cloud.machines[i]
+	w.cloud.mu.Unlock()
+	_ = old.server.Close()
+	fresh := w.startMinionAs(m, old.id, old.addr)
+	w.cloud.mu.Lock()
+	m.minion = fresh
+	w.cloud.mu.Unlock()
+	fresh.carryOut(start)
+	time.Sleep(100 * time.Millisecond)
+	fresh.carryOut(poll)
+}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -23,6 +23,7 @@
 // cases are the cases by name. Each returns whether the rule held.
 var cases = map[string]func(w *world, trouble bool) bool{
 	"crash-in-wave": crashInWave,
+	"late-ack":      lateAck,
 	"late-post":     latePost,
 	"early-crash":   earlyCrash,
 	"fresh-tasks":   freshTasks,
--- a/review/stand3/minion.go
+++ b/review/stand3/minion.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -70,21 +72,26 @@
 	w.minionCount++
 	life := w.minionCount
 	w.mu.Unlock()
+	return w.startMinionAs(m, fmt.Sprintf("%s-life-%d", m.name, life), "127.0.0.1:0")
+}
+
+// startMinionAs starts a minion with an id at an address.
+func (w *world) startMinionAs(m *machine, id, addr string) *minion {
 	n := &minion{
-		id: fmt.Sprintf("%s-life-%d", m.name, life), machine: m.name, zone: m.zone, labels: m.labels, cpu: m.cpu, memMB: m.memMB,
+		id: id, machine: m.name, zone: m.zone, labels: m.labels, cpu: m.cpu, memMB: m.memMB,
 		w: w, born: time.Now(), runs: make(map[string]*run), highest: make(map[string]int), wake: make(chan struct{}),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		w.fail("minion: %v", err)
 	}
 	n.addr = l.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/run-start", n.runStart)
-	mux.HandleFunc("POST /v1/run-stop", n.runStop)
-	mux.HandleFunc("POST /v1/hold", n.hold)
-	mux.HandleFunc("POST /v1/pace", n.pace)
+	mux.HandleFunc("POST /v1/run-start", n.unlessKept(n.runStart))
+	mux.HandleFunc("POST /v1/run-stop", n.unlessKept(n.runStop))
+	mux.HandleFunc("POST /v1/hold", n.unlessKept(n.hold))
+	mux.HandleFunc("POST /v1/pace", n.unlessKept(n.pace))
 	n.server = &http.Server{Handler: mux}
 	go func() { _ = n.server.Serve(l) }()
 	go n.beat()
@@ -93,6 +100,60 @@
 	return n
 }
 
+// keptOrder is an order that a minion leaves unanswered, to carry it out later or never.
+type keptOrder struct {
+	path string
+	body []byte
+}
+
+// unlessKept handles an order unless the case keeps it.
+func (n *minion) unlessKept(f http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if n.w.keeps == nil {
+			f(w, r)
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if !n.w.keeps(n, keptOrder{r.URL.Path, body}) {
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			f(w, r)
+			return
+		}
+		select {
+		case <-r.Context().Done():
+		case <-n.ctx.Done():
+		}
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// noAnswer drops the answer to an order that nobody waits for any more.
+type noAnswer struct{ status int }
+
+func (a *noAnswer) Header() http.Header         { return http.Header{} }
+func (a *noAnswer) Write(p []byte) (int, error) { return len(p), nil }
+func (a *noAnswer) WriteHeader(status int)      { a.status = status }
+
+// carryOut carries out an order that was kept, and returns the status of its answer.
+func (n *minion) carryOut(o keptOrder) int {
+	r, err := http.NewRequest("POST", o.path, bytes.NewReader(o.body))
+	if err != nil {
+		n.w.fail("late order: %v", err)
+	}
+	r.Header.Set("Limpethitch-Expected-Instance", n.id)
+	a := new(noAnswer)
+	n.w.rec.line("minion %s carries out late: %s %s", n.id, o.path, o.body)
+	if o.path == "/v1/run-start" {
+		n.runStart(a, r)
+	} else {
+		n.hold(a, r)
+	}
+	return a.status
+}
+
 // beat registers the minion and renews its entry. The store removes the entry after three intervals
 // of silence.
 func (n *minion) beat() {
@@ -314,6 +375,12 @@
 
 // crash ends the minion and all that it runs. Its entry stays until three heartbeats are missing.
 func (n *minion) crash(why string) {
+	n.die(why)
+	_ = n.server.Close()
+}
+
+// die ends the minion and all that it runs. Its machine does not answer until the server is closed.
+func (n *minion) die(why string) {
 	n.mu.Lock()
 	if n.dead {
 		n.mu.Unlock()
@@ -327,5 +394,4 @@
 	n.runs = make(map[string]*run)
 	n.mu.Unlock()
 	n.cancel()
-	_ = n.server.Close()
 }
--- a/review/stand3/world.go
+++ b/review/stand3/world.go
@@ -55,6 +55,9 @@
 	onStopping func(n *minion, a *run, by string)
 	onOver     func(n *minion, a *run, how string)
 	onNoted    func(row []any)
+	// keeps decides whether a minion leaves an order unanswered; nil is never. It is set before the system
+	// starts.
+	keeps func(n *minion, o keptOrder) bool
 }
 
 func (w *world) began(n *minion, a *run) {
