--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -6,4 +6,4 @@
 	echo "target/platform or target/stand3 is missing" >&2
 	exit 2
 fi
-exec target/stand3 crash-in-wave "$PWD/review/13/record.txt"
+exec target/stand3 crash-in-wave "$PWD/review/14/record.txt"
