Keep late acknowledgements from removing ends of a later incarnation

Cause: ends are acknowledged by number, and each incarnation counts from 1. A worker that restarted executed an unanswered start and then an unanswered poll of its former life: the poll's number removed the end of that start's run before the owner read it.

The incarnation that executed the start rejects the late acknowledgement, so that the end stays listed. Orders that a later one overtakes are sent again.

--- a/entry/engine/engine.go
+++ b/entry/engine/engine.go
@@ -148,8 +148,8 @@
 	// decided.
 	workersOutdated bool
 	workers         map[string]*workerConn
-	// raisedTokens are the fencing tokens of workers that restarted, by id. A worker that was
-	// removed keeps its token: it rejects a lower one if it is listed again.
+	// raisedTokens are the fencing tokens of workers that were sent starts or that restarted, by id. A
+	// worker that was removed keeps its token: it rejects a lower one if it is listed again.
 	raisedTokens map[string]int64
 	compactor    compactor
 
--- a/entry/engine/order.go
+++ b/entry/engine/order.go
@@ -123,11 +123,10 @@
 		e.log.Info("repeating start", zap.String("task", st.Task.String()), zap.Int("attempt", st.Attempt), zap.String("worker", st.Worker))
 	}
 	expiresAt := t.decidedAt.Add(maxStartDelay)
-	c.orders.starts = append(c.orders.starts, order{
-		sendBy:  t.decidedAt.Add(maxStartDelay / 2),
-		prepare: func(now clock.Mono) orderCall { return e.prepareStart(t, c, st, now, expiresAt) },
-		expire:  func() { e.answerStart(t, st, sched.OutcomeUnreachable) },
-	})
+	o := order{sendBy: t.decidedAt.Add(maxStartDelay / 2), expire: func() { e.answerStart(t, st, sched.OutcomeUnreachable) }}
+	again := func() { c.orders.starts = append(c.orders.starts, o) }
+	o.prepare = func(now clock.Mono) orderCall { return e.prepareStart(t, c, st, now, expiresAt, again) }
+	c.orders.starts = append(c.orders.starts, o)
 	e.sendOrders(t, c)
 }
 
@@ -138,8 +137,9 @@
 	t.dirty = true
 }
 
-// prepareStart returns the call for a start that the worker may execute until expiresAt.
-func (e *Engine) prepareStart(t *term, c *workerConn, st sched.Start, now, expiresAt clock.Mono) orderCall {
+// prepareStart returns the call for a start that the worker may execute until expiresAt. again queues
+// the start once more if a later order overtook it.
+func (e *Engine) prepareStart(t *term, c *workerConn, st sched.Start, now, expiresAt clock.Mono, again func()) orderCall {
 	// While the order waited, the run may have been given up or stopped. Its task may run elsewhere.
 	if c.clockMS == 0 || c.failures > 0 || !t.state.MayExtendLease(st.Worker) || !t.state.AwaitsStart(st.Task, st.Attempt, st.Worker) {
 		e.answerStart(t, st, sched.OutcomeNotSent)
@@ -149,17 +149,24 @@
 		Addr: c.addr, Instance: c.id, Task: st.Task.String(), Attempt: st.Attempt, Spec: st.Spec, Checkpoint: st.Checkpoint,
 		Ticket: st.Ticket, Token: t.tokenOf(c.id), ExpiresMS: c.workerClock(now) + expiresAt.Sub(now).Milliseconds(),
 	}
-	c.leaseExtendedAt = now
+	c.leaseExtendedAt, c.startAnswerDue = now, now.Add(startTimeouts[0])
 	t.state.LeaseExtended(c.id, now, now.Add(e.maxLeaseOnWorker()))
 	return func() func() {
 		outcome := e.tryStart(t, order)
 		e.cfg.Metrics.CountStart(string(outcome))
 		return func() {
-			if outcome != sched.OutcomeStarted && outcome != sched.OutcomeStartedOnRetry {
+			switch {
+			case outcome == sched.OutcomeStarted, outcome == sched.OutcomeStartedOnRetry:
+				c.seenToken = max(c.seenToken, order.Token)
+			case outcome == sched.OutcomeFenced && order.Token < t.tokenOf(c.id):
+				again()
+				return
+			default:
 				e.log.Info("run not started", zap.String("task", order.Task), zap.Int("attempt", order.Attempt),
 					zap.String("worker", order.Instance), zap.String("outcome", string(outcome)))
 			}
 			e.answerStart(t, st, outcome)
+			e.poll(t, c) // one may have waited for this answer
 		}
 	}
 }
@@ -206,16 +213,15 @@
 	}
 	e.log.Info("stopping run", zap.String("task", d.Task.String()), zap.Int("attempt", d.Attempt), zap.String("worker", d.Worker),
 		zap.String("reason", string(d.Reason)))
-	c.orders.stops = append(c.orders.stops, order{
-		sendBy:  e.clk.Now().Add(stopTimeout),
-		prepare: func(clock.Mono) orderCall { return e.prepareStop(t, c, d) },
-		expire:  func() {},
-	})
+	o := order{sendBy: e.clk.Now().Add(stopTimeout), expire: func() {}}
+	again := func() { c.orders.stops = append(c.orders.stops, o) }
+	o.prepare = func(clock.Mono) orderCall { return e.prepareStop(t, c, d, again) }
+	c.orders.stops = append(c.orders.stops, o)
 	e.sendOrders(t, c)
 }
 
-// prepareStop returns the call for a stop.
-func (e *Engine) prepareStop(t *term, c *workerConn, d sched.Stop) orderCall {
+// prepareStop returns the call for a stop. again queues it once more if a later order overtook it.
+func (e *Engine) prepareStop(t *term, c *workerConn, d sched.Stop, again func()) orderCall {
 	if _, ok := e.cfg.Elector.Authority(); !ok {
 		return nil
 	}
@@ -224,7 +230,11 @@
 		ctx, cancel := context.WithTimeout(t.ctx, stopTimeout)
 		defer cancel()
 		if err := e.guarded("stop", func() error { return e.cfg.Workers.Stop(ctx, order) }); err != nil {
-			return func() {}
+			return func() {
+				if t.isOvertaken(c.id, order.Token, err) {
+					again()
+				}
+			}
 		}
 		return func() {
 			t.state.SetNow(e.clk.Now(), e.clk.Wall().UnixMilli())
--- a/entry/engine/round.go
+++ b/entry/engine/round.go
@@ -172,6 +172,7 @@
 	}
 	t.storedThrough = round
 	if revision > 0 {
+		t.state.StartsStored(revision)
 		e.raiseTokens(t, revision)
 	}
 	for id, r := range t.unstoredJobs {
@@ -189,6 +190,7 @@
 			t.dirty = true
 			continue
 		}
+		t.raiseToken(st.Worker, revision)
 		e.sendStart(t, st)
 	}
 	for _, id := range released {
@@ -204,7 +206,7 @@
 // token. They then reject what was sent to their former incarnations.
 func (e *Engine) raiseTokens(t *term, revision int64) {
 	for _, id := range t.state.RestartsStored(revision) {
-		t.raisedTokens[id] = revision
+		t.raiseToken(id, revision)
 		e.log.Info("fencing token raised", zap.String("worker", id), zap.Int64("token", revision), zap.Int64("epoch", t.Epoch()))
 		if c := t.workers[id]; c != nil {
 			e.poll(t, c)
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -35,7 +35,12 @@
 	// the last one reported; it may be acknowledged once round ackableRound is stored.
 	ackedEnd, ackableEnd int64
 	ackableRound         int64
-	orders               orderQueue
+	// seenToken is the highest fencing token that the incarnation is known to have seen.
+	seenToken int64
+	// startAnswerDue is until when the answer to the last start is awaited before a poll is sent
+	// whose acknowledgement that start would have the worker reject.
+	startAnswerDue clock.Mono
+	orders         orderQueue
 }
 
 const (
@@ -70,10 +75,21 @@
 // tokenOf returns the fencing token for orders to a worker.
 func (t *term) tokenOf(id string) int64 { return max(t.Token(), t.raisedTokens[id]) }
 
+// raiseToken has the next orders to a worker carry a higher token.
+func (t *term) raiseToken(id string, token int64) {
+	t.raisedTokens[id] = max(t.raisedTokens[id], token)
+}
+
+// isOvertaken reports whether a worker rejected an order only because a later one with a higher token
+// arrived before it.
+func (t *term) isOvertaken(id string, token int64, err error) bool {
+	return rcode.Of(err) == rcode.NotOwner && token < t.tokenOf(id)
+}
+
 // forgetIncarnation forgets the clock and the ended runs of the incarnation that answered last, so
 // that the next poll neither extends a lease nor acknowledges anything.
 func (c *workerConn) forgetIncarnation(now clock.Mono) {
-	c.ackedEnd, c.ackableEnd, c.leaseExpiresMS, c.clockMS = 0, 0, 0, 0
+	c.ackedEnd, c.ackableEnd, c.leaseExpiresMS, c.clockMS, c.seenToken = 0, 0, 0, 0, 0
 	c.forgottenAt = now
 }
 
@@ -156,6 +172,9 @@
 		c.ackedEnd = 0
 	}
 	order := PollOrder{Addr: c.addr, Instance: c.id, Token: t.tokenOf(c.id), AckThrough: c.ackedEnd}
+	if !t.limitAck(c, &order, now) {
+		return
+	}
 	if _, ok := e.cfg.Elector.LeaseAuthority(); !ok {
 		return
 	}
@@ -200,6 +219,25 @@
 	}()
 }
 
+// limitAck has a poll acknowledge ends only as far as no start that may still be executed depends on
+// it: with a lower token than the start's, or not at all. It returns false if the poll is to wait for
+// the answer to a start, which comes within milliseconds as a rule.
+func (t *term) limitAck(c *workerConn, order *PollOrder, now clock.Mono) bool {
+	if order.AckThrough == 0 {
+		return true
+	}
+	token, ok := t.state.AckToken(c.id, order.Token, c.seenToken)
+	if token < order.Token && now < c.startAnswerDue {
+		return false
+	}
+	if ok {
+		order.Token = token
+	} else {
+		order.AckThrough = 0
+	}
+	return true
+}
+
 // trackImmediatePoll counts a poll that does not wait for a run to end towards
 // maxImmediatePolls. It counts until release is called or immediatePollSlot has
 // passed.
@@ -234,6 +272,12 @@
 		e.poll(t, c)
 		return
 	}
+	if t.isOvertaken(c.id, order.Token, err) {
+		e.log.Debug("poll overtaken by a later order", zap.String("worker", c.id), zap.Int64("token", order.Token), zap.Int64("acknowledged", order.AckThrough))
+		c.seenToken = max(c.seenToken, order.Token+1)
+		e.poll(t, c)
+		return
+	}
 	if c.failures == 0 && c.clockMS != 0 {
 		t.replyLoss.observe(err != nil)
 	}
@@ -254,8 +298,9 @@
 	c.failures, c.clockMS, c.clockAt = 0, reply.ClockMS, now
 	if reply.BootUnixMS != c.bootUnixMS {
 		// Each incarnation numbers its ended runs from the beginning.
-		c.bootUnixMS, c.ackedEnd, c.ackableEnd, c.leaseExpiresMS = reply.BootUnixMS, 0, 0, 0
+		c.bootUnixMS, c.ackedEnd, c.ackableEnd, c.leaseExpiresMS, c.seenToken = reply.BootUnixMS, 0, 0, 0, 0
 	}
+	c.seenToken = max(c.seenToken, order.Token)
 	t.state.SetNow(now, e.clk.Wall().UnixMilli())
 	lastEnd := t.state.Observe(sched.Report{
 		Worker: c.id, BootUnixMS: reply.BootUnixMS, Token: order.Token, PolledAt: sent, Running: reply.Running, Ended: reply.Ended,
--- a/entry/sched/report.go
+++ b/entry/sched/report.go
@@ -60,6 +60,7 @@
 			s.handleEnd(w, e)
 		}
 	}
+	w.endsCut = r.MoreEnds
 	s.reconcile(w, r)
 	s.throttleFillers(w)
 	w.runsKnown = true
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -28,6 +28,10 @@
 	st := t.step
 	r := &run{task: t, attempt: attempt, worker: w, size: st.size, charged: st.spec.Declared(), decidedAt: s.now, progressedAt: s.now, speedPercent: fullSpeed}
 	r.startDeadline, r.partial = s.now.Add(s.cfg.StartTTL), t.checkpoint != ""
+	if !s.replaying {
+		r.startToken = tokenUnstored
+		s.unstoredStarts = append(s.unstoredStarts, r)
+	}
 	t.attempt = attempt
 	st.gangAttempt = max(st.gangAttempt, attempt)
 	t.run = r
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -13,9 +13,11 @@
 //	decisions := s.Decide(now)
 //	entries := s.TakeEvents() // store these before carrying out the decisions
 //	s.LeasesStored()          // once they are stored
+//	s.StartsStored(rev)       // then too, with the revision of the write: starts are sent with it as token
 //	s.RestartsStored(rev)     // then too, with the revision of the write: the token of these workers
 //	s.MayExtendLease(worker)  // before each order that extends a lease
 //	s.AwaitsStart(...)        // before a start that had to wait is sent
+//	s.AckToken(worker, ...)   // before each poll that acknowledges ends
 //
 // # Recovery
 //
@@ -135,6 +137,10 @@
 	// lastSeenSeq is the sequence number of the last processed end of a run.
 	lastSeenSeq int64
 
+	// endsCut is whether the last report left out ends. Acknowledging those that it lists is the
+	// only way to read the others.
+	endsCut bool
+
 	// unknownRuns counts the listed runs that the owner has no record of. While there
 	// are any, the worker's free capacity is unknown.
 	unknownRuns int
@@ -186,6 +192,9 @@
 	awaitsAnswer bool
 	lateUntil    clock.Mono
 	repeats      int
+	// startToken is the lowest fencing token that the start was sent with, tokenUnstored before it is
+	// stored; 0 is unknown, that of a former owner.
+	startToken int64
 	// ticketed is whether the start carries a ticket of the advising service, which only one
 	// incarnation of the worker accepts.
 	ticketed bool
@@ -375,6 +384,8 @@
 	outlived    []OutlivedRun
 	// unanswered are the runs whose starts are to be repeated in the next round.
 	unanswered []*run
+	// unstoredStarts are the runs whose starts are not stored yet.
+	unstoredStarts []*run
 	// givenUp has the runs that were given up because their worker's leases had ended, by
 	// worker.
 	givenUp map[string][]givenUpRun
