Advance a maintenance wave only on a list of VMs from after it

Cause: the list of VMs is read only while a wave is open. A new wave was decided with the list that was read for the one before, in which the VM was missing, and a VM that is not listed counts as gone.

Change: the plan keeps when it learned of a wave, and advances it only on a list that was requested later. The engine requests one at once for a new wave.

Changed tests: TestMaintenanceWave waits with the new waitUntilComplete, which checks the same; AddWave has a time, which the tests of upkeep set to before their lists.

--- a/entry/engine/maintenance.go
+++ b/entry/engine/maintenance.go
@@ -104,7 +104,7 @@
 	m := &t.maintenance
 	now, wall := e.clk.Now(), e.clk.Wall().UnixMilli()
 	for number, w := range e.requestedWaves {
-		m.plan.AddWave(w, wall+w.Deadline().Sub(now).Milliseconds())
+		m.plan.AddWave(w, wall+w.Deadline().Sub(now).Milliseconds(), now)
 		if r, ok := m.unrestored[number]; ok {
 			m.plan.Restore(r, now.Add(time.Duration(r.DeadlineUnixMS-wall)*time.Millisecond), max(now, m.notBefore))
 			delete(m.unrestored, number)
@@ -146,12 +146,13 @@
 	e.executeSteps(t, steps)
 }
 
-// refreshVMs reads the platform's list of VMs if the last read is older than
-// vmListInterval.
+// refreshVMs reads the platform's list of VMs if the last read is older than vmListInterval, or than
+// an open wave.
 func (e *Engine) refreshVMs(t *term) {
 	m := &t.maintenance
 	requestedAt := e.clk.Now()
-	if m.listing || m.listRequestedAt != 0 && requestedAt.Sub(m.listRequestedAt) < vmListInterval {
+	isRecent := m.listRequestedAt != 0 && requestedAt.Sub(m.listRequestedAt) < vmListInterval
+	if m.listing || isRecent && !m.plan.HasWaveSince(m.listRequestedAt) {
 		return
 	}
 	m.listing, m.listRequestedAt = true, requestedAt
--- a/entry/engine/maintenance_test.go
+++ b/entry/engine/maintenance_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,13 +15,14 @@
 	"limpethitch.example/entry/upkeep"
 )
 
-// fakeFleet has one VM, whose worker is w0. It fails the first order and accepts the
+// fakeFleet has one VM, m0 unless vm is set, whose worker is w0. It fails the first order and accepts the
 // following ones, and reads the wave's record at each order.
 type fakeFleet struct {
 	st store.Store
 	// startsSent returns the number of starts that the worker received.
 	startsSent func() int
 	mu         sync.Mutex
+	vm         string
 	// lists is the number of reads of the list; the first failedLists of them fail.
 	lists, failedLists int
 	// startsAtOrder is the number of starts that the worker received before the first
@@ -37,7 +39,28 @@
 	if f.lists <= f.failedLists {
 		return nil, context.DeadlineExceeded
 	}
-	return []upkeep.VM{upkeep.NewVM("m0", "w0", upkeep.StateUp)}, nil
+	return []upkeep.VM{upkeep.NewVM(f.vmName(), "w0", upkeep.StateUp)}, nil
+}
+
+func (f *fakeFleet) vmName() string {
+	if f.vm == "" {
+		return "m0"
+	}
+	return f.vm
+}
+
+// replaceVM replaces the VM, so that the next list has another one.
+func (f *fakeFleet) replaceVM(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.vm = name
+}
+
+// ordered reports whether a VM was ordered down.
+func (f *fakeFleet) ordered(vm string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.orders, func(o MaintainOrder) bool { return o.VM == vm })
 }
 
 func (f *fakeFleet) Maintain(ctx context.Context, o MaintainOrder) (MaintainOutcome, error) {
@@ -79,6 +102,39 @@
 	return "status/" + string(rune('0'+wave)), raw
 }
 
+// waitUntilComplete waits until the status of a wave says that it is complete.
+func (f *fakeFleet) waitUntilComplete(t *testing.T, h *harness, wave int64) {
+	t.Helper()
+	key, want := f.WaveStatus(wave, true)
+	var got []byte
+	for end := time.Now().Add(30 * time.Second); !cmp.Equal(want, got); time.Sleep(5 * time.Millisecond) {
+		if kv, err := h.store.Get(h.ctx, key); err == nil {
+			got = kv.Value()
+		}
+		if time.Now().After(end) {
+			t.Fatalf("wave %d is not complete; status %q", wave, got)
+		}
+	}
+}
+
+// TestWaveOfNewVM guards against a wave that is said to be complete at once, although its VM has not gone
+// down, because the list of VMs was read for the wave before and the VM joined later.
+func TestWaveOfNewVM(t *testing.T) {
+	t.Parallel()
+	fleet := &fakeFleet{}
+	h := newHarnessWith(t, func(cfg *Config) { fleet.st, cfg.Fleet = cfg.Store, fleet })
+	waves := map[int64]upkeep.Wave{5: upkeep.NewWave(5, []string{"m0"}, clock.New().Now(), 1)}
+	h.engine.SetWaves(waves)
+	fleet.waitUntilComplete(t, h, 5)
+	fleet.replaceVM("m1")
+	waves = map[int64]upkeep.Wave{5: waves[5], 6: upkeep.NewWave(6, []string{"m1"}, clock.New().Now(), 1)}
+	h.engine.SetWaves(waves)
+	fleet.waitUntilComplete(t, h, 6)
+	if !fleet.ordered("m1") {
+		t.Error("the wave is said to be complete, and its VM was not ordered down")
+	}
+}
+
 // TestMaintenanceWave guards against a VM that is ordered down before its record is
 // stored, an order that is not repeated after a failure, and a wave that is never
 // reported as complete.
@@ -90,18 +146,7 @@
 		cfg.Fleet = fleet
 	})
 	h.engine.SetWaves(map[int64]upkeep.Wave{5: upkeep.NewWave(5, []string{"m0"}, clock.New().Now(), 1)})
-	status := func() string {
-		kv, err := h.store.Get(h.ctx, "status/5")
-		if err != nil {
-			return ""
-		}
-		return string(kv.Value())
-	}
-	for end := time.Now().Add(30 * time.Second); status() != "true"; time.Sleep(5 * time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatalf("the wave is not complete; status %q", status())
-		}
-	}
+	fleet.waitUntilComplete(t, h, 5)
 	fleet.mu.Lock()
 	defer fleet.mu.Unlock()
 	started := upkeep.Record{Number: 5, Started: []string{"m0"}, Workers: map[string]string{"m0": "w0"}}
--- a/entry/upkeep/plan.go
+++ b/entry/upkeep/plan.go
@@ -57,9 +57,12 @@
 type wave struct {
 	Wave
 	deadlineUnixMS int64
-	vms            map[string]*vmProgress
-	stored         bool // a record is stored, or Next has returned one to store
-	complete       bool // no VM of the wave is left to maintain
+	// addedAt is when this owner learned of the wave. Only a list of VMs that was requested later
+	// shows which of the wave's VMs there are.
+	addedAt  clock.Mono
+	vms      map[string]*vmProgress
+	stored   bool // a record is stored, or Next has returned one to store
+	complete bool // no VM of the wave is left to maintain
 }
 
 // Plan holds the requested waves and decides which VM goes down next.
@@ -77,13 +80,13 @@
 	return &Plan{cfg: cfg, waves: make(map[int64]*wave), vms: make(map[string]VM)}
 }
 
-// AddWave adds a wave unless it is in the plan already. deadlineUnixMS is the wave's
-// deadline in wall time, for the record.
-func (p *Plan) AddWave(w Wave, deadlineUnixMS int64) {
+// AddWave adds a wave, which is known at now, unless it is in the plan already. deadlineUnixMS is
+// the wave's deadline in wall time, for the record.
+func (p *Plan) AddWave(w Wave, deadlineUnixMS int64, now clock.Mono) {
 	if p.waves[w.number] != nil {
 		return
 	}
-	nw := &wave{Wave: w, deadlineUnixMS: deadlineUnixMS, vms: make(map[string]*vmProgress, len(w.vms))}
+	nw := &wave{Wave: w, deadlineUnixMS: deadlineUnixMS, addedAt: now, vms: make(map[string]*vmProgress, len(w.vms))}
 	for _, name := range w.vms {
 		nw.vms[name] = &vmProgress{}
 	}
@@ -131,6 +134,17 @@
 	return false
 }
 
+// HasWaveSince reports whether an open wave was added at a time or later, so that a list of VMs that
+// was requested then does not count for it.
+func (p *Plan) HasWaveSince(at clock.Mono) bool {
+	for _, w := range p.waves {
+		if !w.complete && w.addedAt >= at {
+			return true
+		}
+	}
+	return false
+}
+
 // SetVMs sets the platform's complete list of VMs, which was requested at requestedAt.
 func (p *Plan) SetVMs(list []VM, requestedAt clock.Mono) {
 	p.vms, p.listRequestedAt = make(map[string]VM, len(list)), requestedAt
@@ -201,15 +215,12 @@
 	return p.vms[name].worker
 }
 
-// Next returns the steps to execute now, in order. It returns none before the first
-// SetVMs.
+// Next returns the steps to execute now, in order. It returns none for a wave before SetVMs has
+// set a list that was requested after the wave was added.
 func (p *Plan) Next(now clock.Mono, runs RunCounter) []Step {
-	if p.listRequestedAt == 0 {
-		return nil
-	}
 	var out []Step
 	for _, number := range slices.Sorted(maps.Keys(p.waves)) {
-		if w := p.waves[number]; !w.complete {
+		if w := p.waves[number]; !w.complete && w.addedAt < p.listRequestedAt {
 			out = append(out, p.nextForWave(w, now, runs)...)
 		}
 	}
--- a/entry/upkeep/plan_test.go
+++ b/entry/upkeep/plan_test.go
@@ -12,6 +12,7 @@
 
 const (
 	testStart    = clock.Mono(100 * time.Second)
+	testAdded    = testStart - clock.Mono(time.Millisecond) // when waves are added
 	testDowntime = 2 * time.Second
 	testStopTime = 400 * time.Millisecond
 )
@@ -144,7 +145,7 @@
 				replyLost = tt.replyLost
 			}
 			p := NewPlan(Config{Downtime: testDowntime})
-			p.AddWave(NewWave(1, names, testStart.Add(tt.timeLeft), tt.maxDown), 0)
+			p.AddWave(NewWave(1, names, testStart.Add(tt.timeLeft), tt.maxDown), 0, testAdded)
 			maxDown, end := f.runWave(t, p, names, replyLost)
 			if end == 0 || end > testStart.Add(tt.wantWithin) {
 				t.Errorf("complete at %v, want within %v", end.Sub(testStart), tt.wantWithin)
@@ -185,7 +186,7 @@
 			prepare(f)
 			p := NewPlan(Config{Downtime: testDowntime, MaxStopTime: testStopTime})
 			deadline := testStart.Add(15 * time.Second)
-			p.AddWave(NewWave(7, names, deadline, 1), 0)
+			p.AddWave(NewWave(7, names, deadline, 1), 0, testAdded)
 			p.Restore(Record{Number: 7, Started: []string{"m1"}, Done: []string{"m0"}}, deadline, testStart)
 			maxDown, end := f.runWave(t, p, names, func(string) bool { return false })
 			if maxDown != 1 || end == 0 || end > deadline {
@@ -204,7 +205,7 @@
 func restoredPlan(timeLeft time.Duration) *Plan {
 	p := NewPlan(Config{Downtime: testDowntime, MaxStopTime: testStopTime})
 	deadline := testStart.Add(timeLeft)
-	p.AddWave(NewWave(7, []string{"m0", "m1"}, deadline, 1), 0)
+	p.AddWave(NewWave(7, []string{"m0", "m1"}, deadline, 1), 0, testAdded)
 	p.Restore(Record{
 		Number: 7, Started: []string{"m0"}, Done: []string{"m1"}, Workers: map[string]string{"m0": "w-m0"},
 	}, deadline, testStart)
@@ -287,7 +288,7 @@
 	t.Parallel()
 	f, names := newFakeFleet(1)
 	p := NewPlan(Config{Downtime: testDowntime})
-	p.AddWave(NewWave(1, names, testStart, 1), 0)
+	p.AddWave(NewWave(1, names, testStart, 1), 0, testAdded)
 	p.SetVMs(f.list(names, testStart), testStart)
 	p.Next(testStart, f.runsOn)
 	p.MarkUnstored(1)
@@ -297,3 +298,40 @@
 		t.Errorf("steps (-want +got):\n%s", diff)
 	}
 }
+
+// TestWaveNeedsLaterList guards against a wave that is said to be complete, or begun, on a list of VMs
+// from before the wave, which lacks those that joined since.
+func TestWaveNeedsLaterList(t *testing.T) {
+	t.Parallel()
+	const before, after = testAdded - clock.Mono(time.Second), testStart
+	empty := func(string) (int, bool) { return 0, true }
+	order := []Step{
+		StoreRecord{Record{Number: 1, Started: []string{"m1"}, Workers: map[string]string{"m1": "w-m1"}}}, TakeDown{Wave: 1, VM: "m1", Worker: "w-m1"},
+	}
+	complete := []Step{StoreRecord{Record{Number: 1, Complete: true}}}
+	tests := map[string]struct {
+		requestedAt clock.Mono
+		list        []VM
+		want        []Step
+	}{
+		"requested before the wave, without the VM": {requestedAt: before, list: []VM{NewVM("m0", "w-m0", StateUp)}},
+		"requested when the wave was added":         {requestedAt: testAdded, list: []VM{NewVM("m0", "w-m0", StateUp)}},
+		"requested before the wave, with the VM":    {requestedAt: before, list: []VM{NewVM("m1", "w-m1", StateUp)}},
+		"requested after the wave, without the VM":  {requestedAt: after, list: []VM{NewVM("m0", "w-m0", StateUp)}, want: complete},
+		"requested after the wave, with the VM":     {requestedAt: after, list: []VM{NewVM("m1", "w-m1", StateUp)}, want: order},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := NewPlan(Config{Downtime: testDowntime})
+			p.AddWave(NewWave(1, []string{"m1"}, testStart, 1), 0, testAdded)
+			p.SetVMs(tt.list, tt.requestedAt)
+			if diff := cmp.Diff(tt.want, p.Next(testStart, empty)); diff != "" {
+				t.Errorf("steps (-want +got):\n%s", diff)
+			}
+			if diff := cmp.Diff(tt.requestedAt <= testAdded, p.HasWaveSince(tt.requestedAt)); diff != "" {
+				t.Errorf("a later list is needed (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/upkeep/upkeep.go
+++ b/entry/upkeep/upkeep.go
@@ -5,8 +5,8 @@
 // # Usage
 //
 //	p := upkeep.NewPlan(upkeep.Config{Downtime: 2 * time.Second})
-//	p.AddWave(upkeep.NewWave(1, vms, deadline, maxDown), deadlineUnixMS)
-//	p.SetVMs(list, requestedAt)
+//	p.AddWave(upkeep.NewWave(1, vms, deadline, maxDown), deadlineUnixMS, now)
+//	p.SetVMs(list, requestedAt) // counts for the waves added before requestedAt
 //	steps := p.Next(now, runs) // to be executed in order
 //	p.MarkAccepted(1, vm, now)
 //
