Treat a service task that is to be stopped as at work

Cause: a task that was not at work in the last list, which is up to a second old, could be stopped in any case.

Change: the task to be stopped counts as at work in any case.

--- a/entry/sched/drain.go
+++ b/entry/sched/drain.go
@@ -101,11 +101,12 @@
 	return from.Add(time.Duration(s.runTimes.estimateMS(st.job.doc.Queue, st.spec)) * time.Millisecond)
 }
 
-// disruptionAllowed reports whether a service task's run may be interrupted. Interrupting
-// an available run must leave no more than MaxUnavailable tasks of the step unavailable.
+// disruptionAllowed reports whether a service task's run may be interrupted: no more than
+// MaxUnavailable tasks of its step are unavailable then. The run counts as available in any case: the
+// last list is up to seconds old, and it may have begun to work since.
 func (s *State) disruptionAllowed(r *run) bool {
 	st := r.task.step
-	if st.spec.MaxUnavailable == 0 || !r.isAvailable() {
+	if st.spec.MaxUnavailable == 0 {
 		return true
 	}
 	unavailable := st.spec.Count - 1
