Count a service task as available only while its worker is heard

Cause: a run counted as available from the first list that had it at 100 percent until its lease was over, also when its worker had been silent for seconds, was no longer listed, or had restarted.

Change: it counts only if the worker's present incarnation listed it at work in the last 3 s, answers, and is listed by the platform; under a new owner only once a stop of the former one would have shown.

--- /dev/null
+++ b/entry/sched/available.go
@@ -0,0 +1,43 @@
+package sched
+
+import "time"
+
+// A stop ends the work of a service task, and cannot be taken back. What the owner knows of the
+// other tasks of its step is as old as their workers' last reports. So another task counts as
+// available only if its worker has listed it at work a short time ago and nothing has spoken against it
+// since, and the task that is to be stopped counts as at work in any case.
+
+// maxReportAge is how long after a worker's last report its runs count as available. Workers that
+// answer report more often, whatever the load of the owner.
+const maxReportAge = 3 * time.Second
+
+// disruptionAllowed reports whether a service task's run may be interrupted: no more than
+// MaxUnavailable tasks of its step are unavailable then.
+func (s *State) disruptionAllowed(r *run) bool {
+	st := r.task.step
+	if st.spec.MaxUnavailable == 0 {
+		return true
+	}
+	unavailable := st.spec.Count - 1
+	for _, o := range st.liveRuns {
+		if o.task != r.task && o.task.run == o && s.isAvailable(o) {
+			unavailable--
+		}
+	}
+	return unavailable < st.spec.MaxUnavailable
+}
+
+// isAvailable reports whether a service task's run is certainly at work: the worker's present
+// incarnation has listed it with its startup complete, and the worker answers and is on the platform's
+// list. No stop is under way, neither of this owner nor of a former one, which takes MaxStopDuration
+// at most once this owner has read the worker's runs.
+func (s *State) isAvailable(r *run) bool {
+	w := r.worker
+	if r.stopping || r.firstListedAt == 0 || r.progress < progressComplete {
+		return false
+	}
+	if w.pollFailed || !s.isReporting(w) || s.now.Sub(r.lastListedAt) > maxReportAge {
+		return false
+	}
+	return r.startToken != 0 || r.lastListedAt.Sub(r.firstListedAt) > s.cfg.MaxStopDuration
+}
--- a/entry/sched/available_test.go
+++ b/entry/sched/available_test.go
@@ -56,22 +56,47 @@
 	return out
 }
 
-// TestStopOnOldEvidence guards against a stop that leaves no task of a service at work, because a
-// task counts as not at work although it has begun since.
+// TestStopOnOldEvidence guards against a stop that leaves no task of a service at work, because the other
+// task counts as available although its worker no longer answers, has restarted or has left, or was not
+// seen at work since.
 func TestStopOnOldEvidence(t *testing.T) {
 	t.Parallel()
 	stopped := []graph.TaskID{taskID(0, 0)}
+	takeOver := func(p *servicePair, listedFor time.Duration) {
+		p.State = recoverFrom(p.State)
+		for _, w := range []string{"w0", "w1", "w2"} {
+			listTestWorker(p.State, w, 1)
+		}
+		p.Observe(Report{Worker: "w2", BootUnixMS: 1, PolledAt: p.now})
+		first := p.now
+		for _, at := range []clock.Mono{first, first.Add(listedFor)} {
+			p.report(at, "w0", 100)
+			p.report(at, "w1", 100)
+		}
+	}
 	tests := map[string]struct {
 		// after is what happens once both tasks are at work.
 		after func(p *servicePair)
 		wait  time.Duration // since the last report
 		want  []graph.TaskID
 	}{
-		"the other task is at work": {after: func(*servicePair) {}, want: stopped},
+		"the other task is at work":            {after: func(*servicePair) {}, want: stopped},
+		"its worker left a poll unanswered":    {after: func(p *servicePair) { p.PollFailed("w1") }},
+		"its worker is silent":                 {after: func(p *servicePair) { p.WorkerUnresponsive("w1") }},
+		"its worker was last heard before now": {after: func(*servicePair) {}, wait: maxReportAge + time.Millisecond},
+		"its worker is no longer listed":       {after: func(p *servicePair) { p.DelistWorker("w1") }, wait: relistTime},
+		"its worker's entry lapsed just now":   {after: func(p *servicePair) { p.DelistWorker("w1") }, want: stopped},
+		"its worker restarted": {after: func(p *servicePair) {
+			p.Observe(Report{Worker: "w1", BootUnixMS: 2, PolledAt: p.now})
+		}},
+		"its worker's list shows another life": {after: func(p *servicePair) { listTestWorker(p.State, "w1", 2) }},
+		"it is only starting":                  {after: func(p *servicePair) { p.report(p.now.Add(time.Second), "w1", 50) }},
 		"neither was seen at work yet": {after: func(p *servicePair) {
 			p.report(p.now.Add(time.Second), "w0", 99)
 			p.report(p.now, "w1", 99)
 		}},
+		"a former owner may have stopped it":     {after: func(p *servicePair) { takeOver(p, 300*time.Millisecond) }},
+		"no stop of a former owner is under way": {after: func(p *servicePair) { takeOver(p, 500*time.Millisecond) }, want: stopped},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
--- a/entry/sched/drain.go
+++ b/entry/sched/drain.go
@@ -100,24 +100,3 @@
 	}
 	return from.Add(time.Duration(s.runTimes.estimateMS(st.job.doc.Queue, st.spec)) * time.Millisecond)
 }
-
-// disruptionAllowed reports whether a service task's run may be interrupted: no more than
-// MaxUnavailable tasks of its step are unavailable then. The run counts as available in any case: the
-// last list is up to seconds old, and it may have begun to work since.
-func (s *State) disruptionAllowed(r *run) bool {
-	st := r.task.step
-	if st.spec.MaxUnavailable == 0 {
-		return true
-	}
-	unavailable := st.spec.Count - 1
-	for _, o := range st.liveRuns {
-		if o != r && o.task != r.task && o.isAvailable() {
-			unavailable--
-		}
-	}
-	return unavailable < st.spec.MaxUnavailable
-}
-
-// isAvailable reports whether a service task's run has completed its startup and is not
-// being stopped.
-func (r *run) isAvailable() bool { return r.confirmed && !r.stopping && r.progress >= progressComplete }
