Do not repeat a stop whose reason may have gone

When the worker answers again seconds later, the others may be away.

Change: a stop for maintenance or of a paused filler is repeated only while the others are available. Stops of finished jobs, done tasks and workers that shut down are repeated as before.

Evidence: TestStopRepeatedOnOldEvidence, row "its worker is silent", failed on.

--- a/entry/sched/available.go
+++ b/entry/sched/available.go
@@ -41,3 +41,19 @@
 	}
 	return r.startToken != 0 || r.lastListedAt.Sub(r.firstListedAt) > s.cfg.MaxStopDuration
 }
+
+// mayRepeatStop reports whether a stop that has not taken effect may be sent again. Tasks that were
+// available when it was decided may be unavailable now.
+func (s *State) mayRepeatStop(r *run) bool {
+	if r.task.done || r.task.step.job.final() {
+		return true
+	}
+	switch r.stopReason {
+	case ReasonWorkerExits:
+		return !r.task.step.spec.Service || r.worker.spec.Draining || s.disruptionAllowed(r)
+	case ReasonPaused:
+		return s.disruptionAllowed(r)
+	default:
+		return true
+	}
+}
--- a/entry/sched/available_test.go
+++ b/entry/sched/available_test.go
@@ -109,3 +109,34 @@
 		})
 	}
 }
+
+// TestStopRepeatedOnOldEvidence guards against a stop that took no effect and is sent again later, when the
+// other task of the service is no longer at work, and against a cancelled job whose stop is not repeated.
+func TestStopRepeatedOnOldEvidence(t *testing.T) {
+	t.Parallel()
+	stopped := []graph.TaskID{taskID(0, 0)}
+	tests := map[string]struct {
+		after func(p *servicePair)
+		want  []graph.TaskID
+	}{
+		"the other task is at work":                   {after: func(*servicePair) {}, want: stopped},
+		"its worker is silent":                        {after: func(p *servicePair) { p.WorkerUnresponsive("w1") }},
+		"its worker is silent, the job was cancelled": {after: func(p *servicePair) { p.WorkerUnresponsive("w1"); p.Cancel(testJob) }, want: stopped},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newServicePair(t)
+			if diff := cmp.Diff(stopped, p.maintenanceStops(p.now)); diff != "" {
+				t.Fatalf("first stops (-want +got):\n%s", diff)
+			}
+			at := p.now.Add(stopRetryInterval)
+			p.report(at, "w0", 100)
+			p.report(at, "w1", 100)
+			tt.after(p)
+			if diff := cmp.Diff(tt.want, p.maintenanceStops(at)); diff != "" {
+				t.Errorf("repeated stops (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -206,7 +206,7 @@
 			continue
 		}
 		for _, r := range w.runs {
-			if r.stopping && s.now.Sub(r.stopSentAt) >= stopRetryInterval {
+			if r.stopping && s.now.Sub(r.stopSentAt) >= stopRetryInterval && s.mayRepeatStop(r) {
 				r.stopSentAt = s.now
 				s.emit(Stop{Task: r.task.id(), Attempt: r.attempt, Worker: w.spec.ID, Reason: ReasonRepeated})
 			}
