Write a wave's record under the revision that it replaces

Operators would see: a wave that was said to be completed is in progress again, for good.

Cause: a write of a wave's record that got no answer may be executed seconds later, after newer ones. Its only condition was owner/term.

Change: it depends on the revision of the record. A write that did not take effect reads the revisions again, as an earlier one may have been executed late.

Evidence: TestLateWaveRecord, both rows, failed on (the status was "false" after the late write). engine's tests passed once.

--- a/entry/engine/maintenance.go
+++ b/entry/engine/maintenance.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"limpethitch.example/core/clock"
 	"limpethitch.example/core/logs"
+	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/lead"
 	"limpethitch.example/entry/upkeep"
@@ -50,8 +52,8 @@
 	// vmListInterval is the time between two reads of the VM list while a wave is open.
 	vmListInterval = 700 * time.Millisecond
 	// maxStoredWaves bounds the waves that one transaction stores: the platform accepts 32
-	// entries, two for each wave and one for the condition on the term.
-	maxStoredWaves = 15
+	// entries, three for each wave and one for the condition on the term.
+	maxStoredWaves = 10
 	// fleetTimeout bounds a call to the platform and the store for maintenance.
 	fleetTimeout = 2 * time.Second
 )
@@ -70,6 +72,9 @@
 	listing         bool
 	listRequestedAt clock.Mono
 	storing         bool
+	// recordRevisions are the revisions of the stored records, by key. A write depends on that of
+	// the one before: one without an answer may be executed late, and must not undo a later one.
+	recordRevisions map[string]int64
 }
 
 // SetWaves sets the maintenance waves that the operators request.
@@ -88,7 +93,9 @@
 	m.plan = upkeep.NewPlan(upkeep.Config{Downtime: e.cfg.MaintenanceDuration, MaxStopTime: e.cfg.MaxStopTime})
 	m.notBefore = e.clk.Now().Add(e.cfg.HolderLease + lead.AuthorityDuration + fleetTimeout)
 	m.unrestored = make(map[int64]upkeep.Record, len(stored))
+	m.recordRevisions = make(map[string]int64, len(stored))
 	for _, kv := range stored {
+		m.recordRevisions[kv.Key()] = kv.ModRevision()
 		r, err := upkeep.DecodeRecord(kv.Value())
 		if err != nil {
 			e.log.Error("failed to decode stored wave", append(logs.Err(err), zap.String("key", kv.Key()))...)
@@ -213,8 +220,9 @@
 				return
 			}
 			records = append(records, s.Record)
+			recordKey := s.Record.Key(WavePrefix)
 			key, value := e.cfg.Fleet.WaveStatus(s.Record.Number, s.Record.Complete)
-			txn.Put(s.Record.Key(WavePrefix), raw).Put(key, value)
+			txn.If(recordKey, t.maintenance.recordRevisions[recordKey]).Put(recordKey, raw).Put(key, value)
 		case upkeep.TakeDown:
 			orders = append(orders, s)
 		}
@@ -228,25 +236,54 @@
 		ctx, cancel := context.WithTimeout(t.ctx, fleetTimeout)
 		defer cancel()
 		res, err := e.cfg.Store.Commit(ctx, txn)
+		var revisions map[string]int64
+		if err == nil {
+			revisions, err = e.recordRevisions(ctx, records, res)
+		}
 		e.post(func() {
 			t.maintenance.storing = false
 			if e.term != t {
 				return
 			}
+			maps.Copy(t.maintenance.recordRevisions, revisions)
+			stored := err == nil && res.Succeeded()
 			for _, r := range records {
 				e.log.Info("maintenance wave", zap.Int64("wave", r.Number), zap.Int("begun", len(r.Started)), zap.Int("done", len(r.Done)),
-					zap.Bool("complete", r.Complete), zap.Bool("stored", err == nil && res.Succeeded()))
-				if err != nil || !res.Succeeded() {
+					zap.Bool("complete", r.Complete), zap.Bool("stored", stored))
+				if !stored {
 					t.maintenance.plan.MarkUnstored(r.Number)
 				}
 			}
-			if err == nil && res.Succeeded() {
+			if stored {
 				e.sendMaintainOrders(t, orders)
 			}
 		})
 	}()
 }
 
+// recordRevisions returns the revisions of the waves' records after a write that was answered. If a
+// condition of the write did not hold, an earlier one may have been executed late, and they are read.
+func (e *Engine) recordRevisions(ctx context.Context, records []upkeep.Record, res store.Result) (map[string]int64, error) {
+	revisions := make(map[string]int64, len(records))
+	for _, r := range records {
+		key := r.Key(WavePrefix)
+		if res.Succeeded() {
+			revisions[key] = res.Revision()
+			continue
+		}
+		kv, err := e.cfg.Store.Get(ctx, key)
+		switch {
+		case err == nil:
+			revisions[key] = kv.ModRevision()
+		case rcode.Of(err) == rcode.NotFound:
+			revisions[key] = 0
+		default:
+			return nil, rcode.Wrap(err, rcode.Of(err), "engine.recordRevisions")
+		}
+	}
+	return revisions, nil
+}
+
 // sendMaintainOrders sends the orders. The plan repeats an order that is not accepted.
 func (e *Engine) sendMaintainOrders(t *term, orders []upkeep.TakeDown) {
 	for _, takeDown := range orders {
--- a/entry/engine/maintenance_test.go
+++ b/entry/engine/maintenance_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"limpethitch.example/core/clock"
+	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
 	"limpethitch.example/entry/upkeep"
 )
@@ -160,6 +161,77 @@
 	}
 }
 
+// lateWaveStore leaves the first write of a wave's record unanswered. It executes it when it is told to,
+// or before the next one if early is set.
+type lateWaveStore struct {
+	store.Store
+	early  bool
+	mu     sync.Mutex
+	writes int
+	late   *store.Txn
+}
+
+func (s *lateWaveStore) Commit(ctx context.Context, t *store.Txn) (store.Result, error) {
+	if !slices.ContainsFunc(t.Ops(), func(o store.Op) bool { return o.Key() == WavePrefix+"5" }) {
+		return s.Store.Commit(ctx, t)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	switch {
+	case s.writes == 1:
+		s.late = t
+		return store.Result{}, rcode.New(rcode.OutcomeUnknown, "no answer")
+	case s.writes == 2 && s.early:
+		if _, err := s.Store.Commit(ctx, s.late); err != nil {
+			return store.Result{}, err
+		}
+	}
+	return s.Store.Commit(ctx, t)
+}
+
+func (s *lateWaveStore) executeLate(t *testing.T) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, err := s.Store.Commit(t.Context(), s.late); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestLateWaveRecord guards against a wave that is complete and is said to be in progress again, because a
+// write of its record that got no answer is executed after a later one, and against a wave that is never
+// complete because that write is executed before the next one.
+func TestLateWaveRecord(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		early bool // whether the write is executed before the next one
+	}{
+		"after the wave was completed": {},
+		"before the next write":        {early: true},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			fleet, st := &fakeFleet{}, &lateWaveStore{early: tt.early}
+			h := newHarnessWith(t, func(cfg *Config) {
+				fleet.st, cfg.Fleet = cfg.Store, fleet
+				st.Store, cfg.Store = cfg.Store, st
+			})
+			h.engine.SetWaves(map[int64]upkeep.Wave{5: upkeep.NewWave(5, []string{"m0"}, clock.New().Now(), 1)})
+			fleet.waitUntilComplete(t, h, 5)
+			st.executeLate(t)
+			kv, err := h.store.Get(h.ctx, "status/5")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff("true", string(kv.Value())); diff != "" {
+				t.Errorf("whether the wave is complete (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
 // TestManyWaves guards against waves of which no record is ever stored, because operators requested so many
 // at once that their records are more than a transaction may have.
 func TestManyWaves(t *testing.T) {
