Let a wave go on beside a VM that is down

Operators would see: a VM of a maintenance wave crashes while its worker drains and stays down; with a cap of 1 no other VM of the wave goes down any more.

Cause: a VM holds its place from its drain until a list shows it up after its maintenance, which never comes.

Change: a VM that is down without maintenance gives up its place, at once if it only drained, 15 s after its last order otherwise. It gets no orders while it is down, and takes part again once it is up; the wave stays in progress until then. One that is down after its order was accepted is done.

--- a/entry/upkeep/plan.go
+++ b/entry/upkeep/plan.go
@@ -19,6 +19,8 @@
 	slotMargin = time.Second
 	// orderRetryDelay is the pause before an order that was not accepted is sent again.
 	orderRetryDelay = time.Second
+	// maxOrderDelay is how long after it was sent an order without an answer may still be executed.
+	maxOrderDelay = 15 * time.Second
 )
 
 // Config holds the settings of a Plan.
@@ -227,16 +229,36 @@
 	return out
 }
 
+// mayGiveUpSlot reports whether a VM that is down without maintenance takes no part in the wave until
+// it is up again, so that others go before it: it only drained, or no order for it can be executed
+// any more.
+func (v *vmProgress) mayGiveUpSlot(now clock.Mono) bool {
+	switch {
+	case v.done, v.skipped, v.acceptedAt != 0:
+		return false
+	case !v.started:
+		return v.drainDeadline != 0
+	case v.orderedAt == 0: // a former owner's order
+		return now >= max(v.orderDeadline, v.drainDeadline.Add(maxOrderDelay))
+	default:
+		return now.Sub(v.orderedAt) >= maxOrderDelay
+	}
+}
+
 // nextForWave advances a wave. A VM is done once a list that was requested after the
-// order's acceptance shows it up again or no longer contains it.
+// order's acceptance shows it up again or down, or no longer contains it.
 func (p *Plan) nextForWave(w *wave, now clock.Mono, runs RunCounter) []Step {
 	changed := !w.stored
 	waiting, inProgress := 0, 0
 	for name, v := range w.vms {
 		vm, listed := p.vms[name]
-		if v.started && !v.done && v.acceptedAt != 0 && v.acceptedAt < p.listRequestedAt && (!listed || vm.state == StateUp) {
+		if v.started && !v.done && v.acceptedAt != 0 && v.acceptedAt < p.listRequestedAt && (!listed || vm.state == StateUp || vm.state == StateDown) {
 			v.done, changed = true, true
 		}
+		if listed && vm.state == StateDown && v.mayGiveUpSlot(now) {
+			changed = changed || v.started
+			*v = vmProgress{}
+		}
 		switch {
 		case v.done, v.skipped, !listed:
 		case v.started, v.drainDeadline != 0:
@@ -272,7 +294,7 @@
 // deadline has passed.
 func (v *vmProgress) orderDue(vm VM, now clock.Mono, runs RunCounter) bool {
 	switch {
-	case v.done, v.skipped, v.acceptedAt != 0, vm.name == "":
+	case v.done, v.skipped, v.acceptedAt != 0, vm.name == "", vm.state == StateDown:
 		return false
 	case v.orderedAt != 0:
 		return now.Sub(v.orderedAt) >= orderRetryDelay
--- a/entry/upkeep/plan_test.go
+++ b/entry/upkeep/plan_test.go
@@ -335,3 +335,81 @@
 		})
 	}
 }
+
+// TestVMDownForGood guards against a wave that never goes on because a VM of it that crashed keeps its place
+// among those that may be down, against one that is said to be complete although that VM may come back, and
+// against more VMs down than allowed.
+func TestVMDownForGood(t *testing.T) {
+	t.Parallel()
+	const listInterval = time.Second
+	drained := func(string) (int, bool) { return 0, true }
+	busy := func(string) (int, bool) { return 1, true }
+	tests := map[string]struct {
+		runs     RunCounter
+		accepted bool
+		restored bool
+		within   time.Duration // until m1 drains
+		want     []string      // VMs that were ordered down by then, and once m0 is up again
+	}{
+		"while its worker drained":      {runs: busy, within: 2 * listInterval, want: []string{"m1", "m0"}},
+		"its order has no answer":       {runs: drained, within: maxOrderDelay + 2*listInterval, want: []string{"m0", "m1", "m0"}},
+		"its order was accepted":        {runs: drained, accepted: true, within: 2 * listInterval, want: []string{"m0", "m1"}},
+		"a former owner had ordered it": {restored: true, runs: busy, within: maxDrainTime + maxOrderDelay + 2*listInterval, want: []string{"m1", "m0"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := NewPlan(Config{Downtime: testDowntime})
+			p.AddWave(NewWave(1, []string{"m0", "m1"}, testStart.Add(time.Hour), 1), 0, testAdded)
+			if tt.restored {
+				p.Restore(Record{Number: 1, Started: []string{"m0"}}, testStart.Add(time.Hour), testStart)
+			}
+			var orders []string
+			isComplete := false
+			next := func(now clock.Mono, state State, runs RunCounter, accept bool) {
+				p.SetVMs([]VM{NewVM("m0", "w-m0", state), NewVM("m1", "w-m1", StateUp)}, now)
+				for _, s := range p.Next(now, runs) {
+					switch s := s.(type) {
+					case StoreRecord:
+						isComplete = s.Record.Complete
+					case TakeDown:
+						orders = append(orders, s.VM)
+						if accept {
+							p.MarkAccepted(1, s.VM, now)
+						}
+					}
+				}
+			}
+			now := testStart
+			next(now, StateUp, tt.runs, tt.accepted) // m0 drains, or is ordered down
+			down := now
+			for p.DrainDeadlines()["w-m1"] == 0 && now < down.Add(time.Minute) {
+				now = now.Add(listInterval)
+				next(now, StateDown, busy, false)
+			}
+			if now.Sub(down) > tt.within {
+				t.Errorf("m1 drains after %v, want at most %v", now.Sub(down), tt.within)
+			}
+			if isComplete {
+				t.Error("the wave is complete while m0 is down")
+			}
+			for end := now.Add(10 * time.Second); now < end; {
+				now = now.Add(listInterval)
+				next(now, StateDown, drained, true)
+			}
+			if isComplete != tt.accepted {
+				t.Errorf("the wave is complete: %v, want %v", isComplete, tt.accepted)
+			}
+			for end := now.Add(10 * time.Second); now < end; {
+				now = now.Add(listInterval)
+				next(now, StateUp, drained, true)
+			}
+			if diff := cmp.Diff(tt.want, orders); diff != "" {
+				t.Errorf("orders (-want +got):\n%s", diff)
+			}
+			if !isComplete {
+				t.Error("the wave is not complete once m0 is up again")
+			}
+		})
+	}
+}
