Send no maintenance order that ends too many tasks of a service

Cause: that the order was executed before, and so has no effect, was assumed and not known.

Change: an order is sent only if no step has more than max_unavailable tasks unavailable when all runs on the worker end.

--- a/entry/engine/maintenance.go
+++ b/entry/engine/maintenance.go
@@ -284,9 +284,15 @@
 	return revisions, nil
 }
 
-// sendMaintainOrders sends the orders. The plan repeats an order that is not accepted.
+// sendMaintainOrders sends the orders. The plan repeats an order that is not accepted, or was not sent
+// because it would end more tasks of a service than may be unavailable.
 func (e *Engine) sendMaintainOrders(t *term, orders []upkeep.TakeDown) {
 	for _, takeDown := range orders {
+		if !t.state.MayEndRuns(takeDown.Worker) {
+			e.log.Info("maintenance order waits for tasks of a service", zap.String("vm", takeDown.VM), zap.Int64("wave", takeDown.Wave),
+				zap.String("worker", takeDown.Worker))
+			continue
+		}
 		order := MaintainOrder{VM: takeDown.VM, Wave: takeDown.Wave, Holder: e.cfg.Self.Name, Token: t.Token()}
 		go func() {
 			if _, ok := e.cfg.Elector.Authority(); !ok {
--- a/entry/engine/maintenance_test.go
+++ b/entry/engine/maintenance_test.go
@@ -13,6 +13,8 @@
 	"limpethitch.example/core/clock"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/core/store"
+	"limpethitch.example/entry/graph"
+	"limpethitch.example/entry/sched"
 	"limpethitch.example/entry/upkeep"
 )
 
@@ -301,3 +303,50 @@
 		})
 	}
 }
+
+// orderedFleet records the VMs that are ordered down.
+type orderedFleet struct {
+	Fleet
+	vms chan string
+}
+
+func (f orderedFleet) Maintain(_ context.Context, o MaintainOrder) (MaintainOutcome, error) {
+	f.vms <- o.VM
+	return MaintainRetry, nil
+}
+
+// TestOrderSparesService guards against a maintenance order that ends the only task of a service that is at
+// work: one that is repeated, or a new owner's once its deadline has passed, is due whatever runs on the VM.
+func TestOrderSparesService(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		maxUnavailable int
+		want           []string
+	}{
+		"no task may be unavailable besides": {maxUnavailable: 1},
+		"both may be unavailable":            {maxUnavailable: 2, want: []string{"m0"}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRestartTerm(t)
+			fleet := orderedFleet{vms: make(chan string, 1)}
+			r.engine.cfg.Fleet = fleet
+			step := graph.Step{Count: 2, CPUMilli: 10, Service: true, MaxPerWorker: 1, MaxUnavailable: tt.maxUnavailable}
+			r.term.state.AddJob(&graph.Job{ID: busyJob, Queue: "q", Steps: []graph.Step{step}})
+			r.reply(PollReply{ClockMS: 1000, BootUnixMS: 1})
+			r.term.state.Decide(r.clk.Now())
+			task := graph.TaskID{Job: busyJob}
+			r.term.state.StartAnswered(task, 1, "w0", sched.OutcomeStarted)
+			r.reply(PollReply{ClockMS: 2000, BootUnixMS: 1, Running: []sched.RunStatus{{Task: task, Attempt: 1, Percent: 100}}})
+			r.engine.sendMaintainOrders(r.term, []upkeep.TakeDown{{Wave: 1, VM: "m0", Worker: "w0"}})
+			var got []string
+			if r.logs.FilterMessage("maintenance order waits for tasks of a service").Len() == 0 {
+				got = append(got, <-fleet.vms)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("VMs that were ordered down (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
--- a/entry/sched/available.go
+++ b/entry/sched/available.go
@@ -27,6 +27,31 @@
 	return unavailable < st.spec.MaxUnavailable
 }
 
+// MayEndRuns reports whether all runs on a worker may be ended at once: no step has more than
+// MaxUnavailable tasks that are unavailable then. It is true for a worker without runs.
+func (s *State) MayEndRuns(workerID string) bool {
+	w := s.workers[workerID]
+	if w == nil {
+		return true
+	}
+	for _, r := range w.runs {
+		st := r.task.step
+		if st.spec.MaxUnavailable == 0 || r.task.done || st.job.final() {
+			continue
+		}
+		unavailable := st.spec.Count
+		for _, o := range st.liveRuns {
+			if o.worker != w && o.task.run == o && s.isAvailable(o) {
+				unavailable--
+			}
+		}
+		if unavailable > st.spec.MaxUnavailable {
+			return false
+		}
+	}
+	return true
+}
+
 // isAvailable reports whether a service task's run is certainly at work: the worker's present
 // incarnation has listed it with its startup complete, and the worker answers and is on the platform's
 // list. No stop is under way, neither of this owner nor of a former one, which takes MaxStopDuration
--- a/entry/sched/available_test.go
+++ b/entry/sched/available_test.go
@@ -140,3 +140,31 @@
 		})
 	}
 }
+
+// TestMayEndRuns guards against a maintenance order that ends the only task of a service that is at work, and
+// against orders that wait for nothing.
+func TestMayEndRuns(t *testing.T) {
+	t.Parallel()
+	tests := map[string]struct {
+		after func(p *servicePair)
+		want  map[string]bool
+	}{
+		"both at work":          {after: func(*servicePair) {}, want: map[string]bool{"w0": true, "w1": true, "w2": true, "unknown": true}},
+		"one worker is silent":  {after: func(p *servicePair) { p.WorkerUnresponsive("w1") }, want: map[string]bool{"w0": false, "w1": true, "w2": true, "unknown": true}},
+		"job cancelled as well": {after: func(p *servicePair) { p.WorkerUnresponsive("w1"); p.Cancel(testJob) }, want: map[string]bool{"w0": true, "w1": true, "w2": true, "unknown": true}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newServicePair(t)
+			tt.after(p)
+			got := make(map[string]bool)
+			for id := range tt.want {
+				got[id] = p.MayEndRuns(id)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("workers whose runs may be ended (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
