--- a/entry/sched/ack_test.go
+++ b/entry/sched/ack_test.go
@@ -44,6 +44,7 @@
 		"start's token was seen":     {seen: stored, want: held},
 		"answered":                   {after: answer(OutcomeStarted), want: free},
 		"answered on a later try":    {after: answer(OutcomeStartedOnRetry), want: lower},
+		"answered by another life":   {after: answer(OutcomeStartedByLater), want: lower},
 		"no try answered":            {after: answer(OutcomeUnknown), want: lower},
 		"refused":                    {after: answer(OutcomeNoCapacity), want: free},
 		"copies allowed":             {step: graph.Step{AllowDuplicates: true}, want: free},
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -217,13 +217,16 @@
 // StartOutcome is a worker's answer to a start.
 type StartOutcome string
 
-// Answers to a start. With all but the first two and OutcomeUnknown the run certainly does not
+// Answers to a start. With all but the first three and OutcomeUnknown the run certainly does not
 // begin; with OutcomeUnknown it may.
 const (
 	OutcomeStarted StartOutcome = "started"
 	// OutcomeStartedOnRetry means that the worker accepted a later try of the start. Should the
 	// worker restart, an earlier one may still reach the new incarnation.
 	OutcomeStartedOnRetry StartOutcome = "started on retry"
+	// OutcomeStartedByLater means that a later incarnation than the one that the start was meant for
+	// accepted it. Orders for that one may still reach it.
+	OutcomeStartedByLater StartOutcome = "started by a later incarnation"
 
 	OutcomeNoCapacity   StartOutcome = "no room"
 	OutcomeNoTicket     StartOutcome = "no ticket"
@@ -263,8 +266,8 @@
 	}
 	r.awaitsAnswer = false
 	switch outcome {
-	case OutcomeStarted, OutcomeStartedOnRetry:
-		if outcome == OutcomeStartedOnRetry {
+	case OutcomeStarted, OutcomeStartedOnRetry, OutcomeStartedByLater:
+		if outcome != OutcomeStarted {
 			r.markUnanswered(s.now)
 		}
 		r.triesAnswered = r.lateUntil == 0
