Mark a job as refused before saying that there is none to cancel

Cause: 410 was said from a read, although a write sent before it could still be executed.

Change: the job is marked as refused first, on the condition that it is not stored. Writes of jobs depend on that mark.

--- a/entry/accept/accept.go
+++ b/entry/accept/accept.go
@@ -234,7 +234,9 @@
 		return code
 	}
 	if !exists {
-		return rcode.JobUnknown
+		if code = s.refuseCancelled(ctx, id); code != rcode.OK {
+			return code
+		}
 	}
 	code = s.create(ctx, c, engine.CancelPrefix+id, []byte("{}"), rcode.OutcomeUnknown, s.clk.Now())
 	s.log.Info("job cancelled", zap.String("id", id), zap.String("code", string(code)))
--- a/entry/accept/load.go
+++ b/entry/accept/load.go
@@ -48,6 +48,35 @@
 	return code, admit.Decision{}
 }
 
+// Values of the marks of refused jobs in the store.
+const (
+	refusedForLoad = "{}"
+	// refusedCancelled marks a job that was cancelled while it was not stored. Its caller does not
+	// return, so that a later attempt is one that was held up on its way.
+	refusedCancelled = `{"cancelled":true}`
+)
+
+// refuseCancelled marks a job that is to be cancelled and is not stored, so that writes of it that
+// were sent before and got no answer can't take effect any more. It returns rcode.JobUnknown, or
+// rcode.OK if the job was stored meanwhile. If it is not known whether the mark is stored, the caller must not
+// be told that there is no such job.
+func (s *Service) refuseCancelled(ctx context.Context, id string) rcode.Code {
+	code := rcode.StoreUnavailable
+	for range maxStoredReads {
+		var marked bool
+		marked, code = s.commit(ctx, store.NewTxn().If(engine.JobPrefix+id, 0).Put(engine.RefusalPrefix+id, []byte(refusedCancelled)))
+		switch {
+		case code != rcode.OK:
+			continue
+		case marked:
+			return rcode.JobUnknown
+		default:
+			return rcode.OK
+		}
+	}
+	return code
+}
+
 // noteAccepted counts an accepted job towards the load until the owner's next figures.
 func (s *Service) noteAccepted(job *graph.Job) {
 	s.gateMu.Lock()
@@ -61,7 +90,7 @@
 // rcode.OutcomeUnknown if it is not known whether the mark is stored: the job must not be
 // refused for load then.
 func (s *Service) refuse(ctx context.Context, id string) rcode.Code {
-	marked, code := s.commit(ctx, store.NewTxn().If(engine.JobPrefix+id, 0).Put(engine.RefusalPrefix+id, []byte("{}")))
+	marked, code := s.commit(ctx, store.NewTxn().If(engine.JobPrefix+id, 0).Put(engine.RefusalPrefix+id, []byte(refusedForLoad)))
 	switch {
 	case code != rcode.OK:
 		return rcode.OutcomeUnknown
@@ -95,8 +124,8 @@
 }
 
 // whyNotStored returns rcode.OK if a job that could not be stored exists, or
-// rcode.OverLimit and the revision of its refusal. If neither can be read, the outcome is
-// unknown.
+// rcode.OverLimit and the revision of its refusal, 0 if it was cancelled. If neither can be read, the
+// outcome is unknown.
 func (s *Service) whyNotStored(ctx context.Context, id string) (rcode.Code, int64) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -111,6 +140,9 @@
 	if code := s.readJob(ctx, id); code != rcode.NotFound {
 		return code, 0
 	}
+	if string(refusal.Value()) == refusedCancelled {
+		return rcode.OverLimit, 0
+	}
 	return rcode.OverLimit, refusal.ModRevision()
 }
 
