Let a run that its worker accepted hold the lease that was sent

Cause: a run that was accepted and not listed yet counted as one that an order for a former incarnation may have begun, and kept the platform's longest lease.

Change: a run whose only try was accepted by the incarnation that reports, as the clock in its answer shows, holds the lease that the owner sent. That clock is compared with the earliest that it can be by now.

--- a/entry/engine/order.go
+++ b/entry/engine/order.go
@@ -147,7 +147,7 @@
 	}
 	order := StartOrder{
 		Addr: c.addr, Instance: c.id, Task: st.Task.String(), Attempt: st.Attempt, Spec: st.Spec, Checkpoint: st.Checkpoint,
-		Ticket: st.Ticket, Token: t.tokenOf(c.id), ReportedMS: c.clockMS, ExpiresMS: c.workerClock(now) + expiresAt.Sub(now).Milliseconds(),
+		Ticket: st.Ticket, Token: t.tokenOf(c.id), LeastClockMS: c.leastClock(now), ExpiresMS: c.workerClock(now) + expiresAt.Sub(now).Milliseconds(),
 	}
 	c.leaseExtendedAt, c.startAnswerDue = now, now.Add(startTimeouts[0])
 	t.state.LeaseExtended(c.id, now, now.Add(e.maxLeaseOnWorker()))
--- a/entry/engine/ports.go
+++ b/entry/engine/ports.go
@@ -18,9 +18,9 @@
 	Spec               string
 	Checkpoint, Ticket string
 	Token              int64
-	// ReportedMS is the worker's clock in its last report. An answer with an earlier one is of a later
-	// incarnation.
-	ReportedMS int64
+	// LeastClockMS is the earliest that the worker's clock can be when it receives the order. An answer
+	// with an earlier one is of a later incarnation.
+	LeastClockMS int64
 	// ExpiresMS is a time on the worker's clock. After it the worker refuses the start
 	// and kills the run that it started, unless a poll has extended the lease.
 	ExpiresMS int64
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -98,6 +98,11 @@
 	return c.clockMS + now.Sub(c.clockAt).Milliseconds()
 }
 
+// leastClock returns the earliest that the worker's clock can be now.
+func (c *workerConn) leastClock(now clock.Mono) int64 {
+	return c.clockMS + int64(float64(now.Sub(c.clockAt).Milliseconds())*(1-maxClockDrift))
+}
+
 // estimatedClock is workerClock for log lines; it returns 0 if the worker's clock is unknown.
 func (c *workerConn) estimatedClock(now clock.Mono) int64 {
 	if c.clockMS == 0 {
--- a/entry/sched/fence.go
+++ b/entry/sched/fence.go
@@ -88,10 +88,11 @@
 }
 
 // leaseEnd returns when every lease that a run on the worker may hold has ended. A run that the
-// current incarnation has not listed, or whose start had a try without an answer, may be one that an
-// order for a former incarnation begins.
+// current incarnation has neither accepted nor listed, or whose start had a try without an answer, may
+// be one that an order for a former incarnation begins.
 func (s *State) leaseEnd(w *worker, r *run) clock.Mono {
-	settled := r.listedBootMS != 0 && (r.triesAnswered || r.lastListedAt > r.startDeadline)
+	accepted := r.triesAnswered && r.acceptedBootMS != 0 && r.acceptedBootMS == w.spec.BootUnixMS
+	settled := accepted || r.listedBootMS != 0 && (r.triesAnswered || r.lastListedAt > r.startDeadline)
 	if w.orderedAt == 0 || w.fence == fenceNone && settled {
 		return w.leaseExpiry
 	}
--- a/entry/sched/runs.go
+++ b/entry/sched/runs.go
@@ -270,7 +270,9 @@
 		if outcome != OutcomeStarted {
 			r.markUnanswered(s.now)
 		}
-		r.triesAnswered = r.lateUntil == 0
+		if r.triesAnswered = r.lateUntil == 0; r.triesAnswered {
+			r.acceptedBootMS = w.spec.BootUnixMS
+		}
 		if !r.confirmed {
 			s.confirm(r)
 		}
--- a/entry/sched/state.go
+++ b/entry/sched/state.go
@@ -211,8 +211,9 @@
 	// former owner or for a former incarnation, and is not listed since. A worker that has
 	// answered a poll with the current token rejects it.
 	beforeFence bool
-	// listedBootMS is the boot time of the incarnation that listed the run; 0 is none.
-	listedBootMS int64
+	// listedBootMS is the boot time of the incarnation that listed the run, acceptedBootMS that of the
+	// one that answered the only try of its start; 0 is none.
+	listedBootMS, acceptedBootMS int64
 
 	// speedPercent is the share of its full speed that a filler may use, as ordered at
 	// throttledAt, or speedUnknown.
--- a/entry/sched/workers.go
+++ b/entry/sched/workers.go
@@ -81,7 +81,7 @@
 			s.endRun(r, events.RunLost, "")
 			continue
 		}
-		r.confirmed, r.stopAccepted, r.beforeFence, r.listedBootMS = false, false, true, 0
+		r.confirmed, r.stopAccepted, r.beforeFence, r.listedBootMS, r.acceptedBootMS = false, false, true, 0, 0
 		r.speedPercent, r.pausedSince, r.firstListedAt = speedUnknown, 0, 0
 	}
 	w.spec.BootUnixMS = bootUnixMS
