Test that an overtaken stop is sent again, and only once

The test of overtaken orders claimed stops and had starts only. TestOvertakenStop: a stop that a later order overtook is repeated with the later token; one that was rejected for a newer owner's token is not.

--- a/entry/engine/ack_test.go
+++ b/entry/engine/ack_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"limpethitch.example/core/rcode"
+	"limpethitch.example/entry/graph"
 	"limpethitch.example/entry/sched"
 )
 
@@ -121,9 +122,9 @@
 	}
 }
 
-// TestOvertakenOrder guards against a start or a stop that is lost because a later order with a higher
-// token reached the worker before it.
-func TestOvertakenOrder(t *testing.T) {
+// TestOvertakenStart guards against a start that is lost because a later order with a higher token reached
+// the worker before it.
+func TestOvertakenStart(t *testing.T) {
 	t.Parallel()
 	r := newRestartTerm(t)
 	w := orderRecorder{outcome: sched.OutcomeFenced, starts: make(chan StartOrder, 1), polls: make(chan PollOrder, 1), ended: t.Context().Done()}
@@ -145,3 +146,64 @@
 		t.Errorf("expiry of the second start (-want +got):\n%s", diff)
 	}
 }
+
+// fencedStops are workers that record stops and reject those with a token below least.
+type fencedStops struct {
+	silentWorkers
+	least  int64
+	tokens chan int64
+}
+
+func (w fencedStops) Stop(_ context.Context, o StopOrder) error {
+	w.tokens <- o.Token
+	if o.Token < w.least {
+		return rcode.New(rcode.NotOwner, "a higher token was seen")
+	}
+	return nil
+}
+
+// TestOvertakenStop guards against a stop that is repeated only after a pause although a later order
+// overtook it, and against one that is repeated at once for ever although a newer owner's token was seen.
+func TestOvertakenStop(t *testing.T) {
+	t.Parallel()
+	const later = 1001
+	tests := map[string]struct {
+		raised bool // whether a later order has a higher token
+		want   []int64
+	}{
+		"a later order overtook it": {raised: true, want: []int64{0, later}},
+		"a newer owner's was seen":  {want: []int64{0}},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newRestartTerm(t)
+			w := fencedStops{least: later, tokens: make(chan int64, 4)}
+			r.engine.cfg.Workers = w
+			r.term.raisedTokens = make(map[string]int64)
+			first := r.term.Token()
+			r.engine.sendStop(r.term, sched.Stop{Task: graph.TaskID{Job: testJob}, Attempt: 1, Worker: "w0"})
+			if tt.raised {
+				r.term.raiseToken("w0", later)
+			}
+			r.handlePost()
+			if tt.raised {
+				r.handlePost()
+			}
+			var got []int64
+			for len(w.tokens) > 0 {
+				token := <-w.tokens
+				if token == first {
+					token = 0
+				}
+				got = append(got, token)
+			}
+			if diff := cmp.Diff(tt.want, got); diff != "" {
+				t.Errorf("tokens of the stops, 0 for the first one's (-want +got):\n%s", diff)
+			}
+			if len(r.conn.orders.stops) > 0 {
+				t.Errorf("%d stops wait to be sent", len(r.conn.orders.stops))
+			}
+		})
+	}
+}
