Hold a poll back once for starts that follow each other

Each further start of 5,000 for one worker began this wait anew, so that the worker was not polled, and each answer went through all runs of the worker.

Changed test: TestLateAcknowledgement tries to poll while the start is under way, and has a row for an answer that is overdue.

--- a/entry/engine/ack_test.go
+++ b/entry/engine/ack_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
+	"limpethitch.example/core/clock"
 	"limpethitch.example/core/rcode"
 	"limpethitch.example/entry/graph"
 	"limpethitch.example/entry/sched"
@@ -17,6 +19,7 @@
 type orderRecorder struct {
 	silentWorkers
 	outcome sched.StartOutcome
+	hangs   bool // whether starts are waited for until the end of the test
 	starts  chan StartOrder
 	polls   chan PollOrder
 	ended   <-chan struct{} // closed at the end of the test
@@ -24,6 +27,9 @@
 
 func (w orderRecorder) Start(_ context.Context, o StartOrder) (sched.StartOutcome, error) {
 	w.starts <- o
+	if w.hangs {
+		<-w.ended
+	}
 	if w.outcome == "" {
 		return sched.OutcomeUnknown, errors.New("no answer")
 	}
@@ -50,26 +56,23 @@
 	const lastEnd, round, revision = 7, 1, 1000
 	tests := map[string]struct {
 		outcome sched.StartOutcome // of the start, if it is answered
-		// executed is whether the worker executed the start and rejects lower tokens, wantHeld whether
-		// no poll is sent while the answer to the start is due.
-		executed, wantHeld bool
-		want               []acknowledgement
+		// hangs is whether the start's tries are still waited for when the poll may be held back no
+		// longer, executed whether the worker executed it and rejects lower tokens.
+		hangs, executed bool
+		want            []acknowledgement
 	}{
-		"start unanswered": {
-			wantHeld: true, want: []acknowledgement{{Through: lastEnd, Token: -1}, {Through: lastEnd, Token: -1}},
-		},
+		"start unanswered": {want: []acknowledgement{{Through: lastEnd, Token: -1}, {Through: lastEnd, Token: -1}}},
+		"answer overdue":   {hangs: true, want: []acknowledgement{{Through: lastEnd, Token: -1}, {Through: lastEnd, Token: -1}}},
 		"start unanswered, but executed": {
-			executed: true, wantHeld: true, want: []acknowledgement{{Through: lastEnd, Token: -1}, {Through: lastEnd, Token: -1}, {}},
-		},
-		"start answered": {
-			outcome: sched.OutcomeStarted, want: []acknowledgement{{Through: lastEnd, Token: -1}, {Through: lastEnd}},
+			executed: true, want: []acknowledgement{{Through: lastEnd, Token: -1}, {Through: lastEnd, Token: -1}, {}},
 		},
+		"start answered": {outcome: sched.OutcomeStarted, want: []acknowledgement{{Through: lastEnd, Token: -1}, {Through: lastEnd}}},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			r := newRestartTerm(t)
-			w := orderRecorder{outcome: tt.outcome, starts: make(chan StartOrder, len(startTimeouts)), polls: make(chan PollOrder, 1), ended: t.Context().Done()}
+			w := orderRecorder{outcome: tt.outcome, hangs: tt.hangs, starts: make(chan StartOrder, len(startTimeouts)), polls: make(chan PollOrder, 1), ended: t.Context().Done()}
 			r.engine.cfg.Workers = w
 			r.term.raisedTokens = make(map[string]int64)
 			r.reply(PollReply{ClockMS: 50_000, BootUnixMS: 1})
@@ -89,18 +92,20 @@
 			starts := r.engine.dispatch(r.term, r.term.state.Decide(r.clk.Now()), nil)
 			r.engine.handleRoundStored(r.term, round, revision, starts)
 			start := <-w.starts
-			r.term.ready = true
-			r.handlePost() // polls at once if the start was answered
-			r.term.ready = false
-			if r.conn.polling {
-				polls, r.conn.polling = append(polls, <-w.polls), false
-			}
-			if diff := cmp.Diff(tt.wantHeld, len(polls) == 1); diff != "" {
-				t.Errorf("poll held back (-want +got):\n%s", diff)
+			poll()
+			if diff := cmp.Diff(1, len(polls)); diff != "" {
+				t.Errorf("polls sent while the start is under way (-want +got):\n%s", diff)
 			}
-			r.clk.Advance(startTimeouts[0])
-			if tt.wantHeld {
+			if tt.hangs {
+				r.clk.Advance(startTimeouts[0])
 				poll()
+			} else {
+				r.term.ready = true
+				r.handlePost() // sends the poll that was held back
+				r.term.ready = false
+				if r.conn.polling {
+					polls, r.conn.polling = append(polls, <-w.polls), false
+				}
 			}
 			if tt.executed {
 				r.conn.polling = true
@@ -211,3 +216,31 @@
 		})
 	}
 }
+
+// TestPollHeldOnce guards against a worker that is not polled as long as starts for it follow each other, so that
+// the ends of its runs are not seen.
+func TestPollHeldOnce(t *testing.T) {
+	t.Parallel()
+	c, now := &workerConn{}, clock.Mono(0).Add(time.Minute)
+	steps := []struct {
+		name     string
+		wait     time.Duration
+		inFlight int
+		want     bool
+	}{
+		{name: "nothing is under way"},
+		{name: "a start is under way", inFlight: 1, want: true},
+		{name: "still within the time for its answer", wait: startTimeouts[0] - 1, inFlight: 1, want: true},
+		{name: "another one is under way by then", wait: 1, inFlight: 1},
+		{name: "and one more", wait: time.Second, inFlight: 1},
+		{name: "all were answered"},
+		{name: "a later start is under way", inFlight: 1, want: true},
+	}
+	for _, step := range steps {
+		now = now.Add(step.wait)
+		c.orders.inFlight = step.inFlight
+		if diff := cmp.Diff(step.want, c.holdsPoll(now)); diff != "" {
+			t.Errorf("%s: poll held back (-want +got):\n%s", step.name, diff)
+		}
+	}
+}
--- a/entry/engine/order.go
+++ b/entry/engine/order.go
@@ -66,6 +66,9 @@
 	return o, true
 }
 
+// isIdle reports whether no order waits or is in flight.
+func (q *orderQueue) isIdle() bool { return q.inFlight == 0 && len(q.stops)+len(q.starts) == 0 }
+
 // mayStart reports whether an order may be sent before those in flight are answered.
 func (q *orderQueue) mayStart() bool {
 	switch q.inFlight {
@@ -149,7 +152,7 @@
 		Addr: c.addr, Instance: c.id, Task: st.Task.String(), Attempt: st.Attempt, Spec: st.Spec, Checkpoint: st.Checkpoint,
 		Ticket: st.Ticket, Token: t.tokenOf(c.id), LeastClockMS: c.leastClock(now), ExpiresMS: c.workerClock(now) + expiresAt.Sub(now).Milliseconds(),
 	}
-	c.leaseExtendedAt, c.startAnswerDue = now, now.Add(startTimeouts[0])
+	c.leaseExtendedAt = now
 	t.state.LeaseExtended(c.id, now, now.Add(e.maxLeaseOnWorker()))
 	return func() func() {
 		outcome := e.tryStart(t, order)
@@ -169,7 +172,7 @@
 					zap.String("worker", order.Instance), zap.String("outcome", string(outcome)))
 			}
 			e.answerStart(t, st, outcome)
-			e.poll(t, c) // one may have waited for this answer
+			e.sendHeldPoll(t, c)
 		}
 	}
 }
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -37,10 +37,10 @@
 	ackableRound         int64
 	// seenToken is the highest fencing token that the incarnation is known to have seen.
 	seenToken int64
-	// startAnswerDue is until when the answer to the last start is awaited before a poll is sent
-	// whose acknowledgement that start would have the worker reject.
-	startAnswerDue clock.Mono
-	orders         orderQueue
+	// pollHeldUntil is until when a poll is held back whose acknowledgement the starts under way would
+	// have the worker reject; 0 is none since no order was under way.
+	pollHeldUntil clock.Mono
+	orders        orderQueue
 }
 
 const (
@@ -232,7 +232,7 @@
 		return true
 	}
 	token, ok := t.state.AckToken(c.id, order.Token, c.seenToken)
-	if token < order.Token && now < c.startAnswerDue {
+	if token < order.Token && c.holdsPoll(now) {
 		return false
 	}
 	if ok {
@@ -243,6 +243,27 @@
 	return true
 }
 
+// holdsPoll reports whether a poll is to wait for the answers to the orders under way: for as long as
+// one is awaited at first, once for all that follow each other.
+func (c *workerConn) holdsPoll(now clock.Mono) bool {
+	if c.orders.isIdle() {
+		c.pollHeldUntil = 0
+		return false
+	}
+	if c.pollHeldUntil == 0 {
+		c.pollHeldUntil = now.Add(startTimeouts[0])
+	}
+	return now < c.pollHeldUntil
+}
+
+// sendHeldPoll sends the poll that was held back once no order is under way any more.
+func (e *Engine) sendHeldPoll(t *term, c *workerConn) {
+	if c.pollHeldUntil != 0 && c.orders.isIdle() {
+		c.pollHeldUntil = 0
+		e.poll(t, c)
+	}
+}
+
 // trackImmediatePoll counts a poll that does not wait for a run to end towards
 // maxImmediatePolls. It counts until release is called or immediatePollSlot has
 // passed.
--- a/entry/sched/ack.go
+++ b/entry/sched/ack.go
@@ -34,14 +34,14 @@
 	}
 	token = current
 	for _, r := range w.runs {
-		if r.needsItsEnd() && s.startInDoubt(r) {
-			token = min(token, r.startToken-1)
+		if !s.startInDoubt(r) || !r.needsItsEnd() {
+			continue
+		}
+		if token = min(token, r.startToken-1); token < seen {
+			return token, false
 		}
 	}
-	if token == current {
-		return token, true
-	}
-	return token, token >= seen && w.fence == fenceNone
+	return token, token == current || w.fence == fenceNone
 }
 
 // needsItsEnd reports whether the task would run again if the end of a run, begun by a late start, were
