Keep the outcome of a cancel unknown if any try may have marked the job

A cancel of a job that is not stored tries twice to mark it. If the first try got no answer and the second did not reach the store, the caller was told that nothing was done (503), although the mark may be stored. It is told now that the outcome is unknown.

Found by reading the change again. TestCancelOfUnansweredJob, row "the mark is not answered, then no store", failed before (StoreUnavailable).

--- a/entry/accept/cancel_test.go
+++ b/entry/accept/cancel_test.go
@@ -25,7 +25,8 @@
 	const ok, refused, unknown, gone = rcode.OK, rcode.OverLimit, rcode.AcceptUnknown, rcode.JobUnknown
 	tests := map[string]struct {
 		// steps are calls: of the job (submit), of the job whose writes are not answered (submit lost), and
-		// of its cancelling (cancel), also with a mark that is not answered (cancel lost). With land the writes without
+		// of its cancelling (cancel), also with a mark that is not answered (cancel lost), or whose
+		// second try does not reach the store (cancel lost once). With land the writes without
 		// an answer are executed, with cancel overtaken just before the mark.
 		steps  []string
 		want   []rcode.Code
@@ -37,7 +38,10 @@
 		"the writes land between read and mark": {steps: []string{"submit lost", "cancel overtaken"}, want: []rcode.Code{unknown, ok}, stored: true},
 		"never submitted":                       {steps: []string{"cancel"}, want: []rcode.Code{gone}},
 		"the mark is not answered":              {steps: []string{"submit lost", "cancel lost"}, want: []rcode.Code{unknown, rcode.OutcomeUnknown}},
-		"stored":                                {steps: []string{"submit", "cancel"}, want: []rcode.Code{ok, ok}, stored: true},
+		"the mark is not answered, then no store": {
+			steps: []string{"submit lost", "cancel lost once"}, want: []rcode.Code{unknown, rcode.OutcomeUnknown},
+		},
+		"stored": {steps: []string{"submit", "cancel"}, want: []rcode.Code{ok, ok}, stored: true},
 	}
 	for name, tt := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -67,6 +71,9 @@
 						return true
 					}
 					got = append(got, s.Cancel(context.Background(), call).Code())
+				case "cancel lost once":
+					s.cfg.Store = &scriptedStore{Memory: st.Memory, writes: []rcode.Code{rcode.OutcomeUnknown, rcode.StoreUnavailable}}
+					got = append(got, s.Cancel(context.Background(), call).Code())
 				case "cancel lost":
 					st.intercept = func(*store.Txn) bool { return false }
 					got = append(got, s.Cancel(context.Background(), call).Code())
--- a/entry/accept/load.go
+++ b/entry/accept/load.go
@@ -48,6 +48,9 @@
 	return code, admit.Decision{}
 }
 
+// maxCancelMarks bounds the tries to mark a job that is to be cancelled.
+const maxCancelMarks = 2
+
 // Values of the marks of refused jobs in the store.
 const (
 	refusedForLoad = "{}"
@@ -58,23 +61,23 @@
 
 // refuseCancelled marks a job that is to be cancelled and is not stored, so that writes of it that
 // were sent before and got no answer can't take effect any more. It returns rcode.JobUnknown, or
-// rcode.OK if the job was stored meanwhile. If it is not known whether the mark is stored, the caller must not
-// be told that there is no such job.
+// rcode.OK if the job was stored meanwhile, rcode.OutcomeUnknown if the mark may be stored, and
+// rcode.StoreUnavailable if it certainly is not.
 func (s *Service) refuseCancelled(ctx context.Context, id string) rcode.Code {
-	code := rcode.StoreUnavailable
-	for range maxStoredReads {
-		var marked bool
-		marked, code = s.commit(ctx, store.NewTxn().If(engine.JobPrefix+id, 0).Put(engine.RefusalPrefix+id, []byte(refusedCancelled)))
+	worst := rcode.StoreUnavailable
+	for range maxCancelMarks {
+		marked, code := s.commit(ctx, store.NewTxn().If(engine.JobPrefix+id, 0).Put(engine.RefusalPrefix+id, []byte(refusedCancelled)))
 		switch {
-		case code != rcode.OK:
-			continue
+		case code == rcode.OutcomeUnknown:
+			worst = code
+		case code != rcode.OK: // nothing was written by this try
 		case marked:
 			return rcode.JobUnknown
 		default:
 			return rcode.OK
 		}
 	}
-	return code
+	return worst
 }
 
 // noteAccepted counts an accepted job towards the load until the owner's next figures.
