Tell in one place which tasks of a step are unavailable

disruptionAllowed and MayEndRuns counted in two similar loops. Besides, from reading the change as a newcomer: a function that holds a poll back is named so, the end of a VM's maintenance has a function, the model's clock drift has a name, and isOvertaken says which orders it is about.

--- a/entry/engine/ack_test.go
+++ b/entry/engine/ack_test.go
@@ -239,7 +239,7 @@
 	for _, step := range steps {
 		now = now.Add(step.wait)
 		c.orders.inFlight = step.inFlight
-		if diff := cmp.Diff(step.want, c.holdsPoll(now)); diff != "" {
+		if diff := cmp.Diff(step.want, c.holdPoll(now)); diff != "" {
 			t.Errorf("%s: poll held back (-want +got):\n%s", step.name, diff)
 		}
 	}
--- a/entry/engine/workerconn.go
+++ b/entry/engine/workerconn.go
@@ -80,8 +80,8 @@
 	t.raisedTokens[id] = max(t.raisedTokens[id], token)
 }
 
-// isOvertaken reports whether a worker rejected an order only because a later one with a higher token
-// arrived before it.
+// isOvertaken reports whether a worker rejected an order only because it had seen a higher token of this
+// owner: that of a later order, or of a start that a poll with a lower token was to keep apart from.
 func (t *term) isOvertaken(id string, token int64, err error) bool {
 	return rcode.Of(err) == rcode.NotOwner && token < t.tokenOf(id)
 }
@@ -232,7 +232,7 @@
 		return true
 	}
 	token, ok := t.state.AckToken(c.id, order.Token, c.seenToken)
-	if token < order.Token && c.holdsPoll(now) {
+	if token < order.Token && c.holdPoll(now) {
 		return false
 	}
 	if ok {
@@ -243,9 +243,9 @@
 	return true
 }
 
-// holdsPoll reports whether a poll is to wait for the answers to the orders under way: for as long as
-// one is awaited at first, once for all that follow each other.
-func (c *workerConn) holdsPoll(now clock.Mono) bool {
+// holdPoll holds a poll back for the answers to the orders under way, and reports whether it does: for as
+// long as a start's first try is awaited, once for all orders that follow each other.
+func (c *workerConn) holdPoll(now clock.Mono) bool {
 	if c.orders.isIdle() {
 		c.pollHeldUntil = 0
 		return false
--- a/entry/sched/available.go
+++ b/entry/sched/available.go
@@ -15,16 +15,19 @@
 // MaxUnavailable tasks of its step are unavailable then.
 func (s *State) disruptionAllowed(r *run) bool {
 	st := r.task.step
-	if st.spec.MaxUnavailable == 0 {
-		return true
-	}
-	unavailable := st.spec.Count - 1
-	for _, o := range st.liveRuns {
-		if o.task != r.task && o.task.run == o && s.isAvailable(o) {
-			unavailable--
+	return st.spec.MaxUnavailable == 0 || s.unavailableWithout(st, func(o *run) bool { return o.task == r.task }) <= st.spec.MaxUnavailable
+}
+
+// unavailableWithout returns how many tasks of a step are unavailable, or would be if the runs for which
+// ends returns true ended.
+func (s *State) unavailableWithout(st *step, ends func(*run) bool) int {
+	n := st.spec.Count
+	for _, r := range st.liveRuns {
+		if !ends(r) && r.task.run == r && s.isAvailable(r) {
+			n--
 		}
 	}
-	return unavailable < st.spec.MaxUnavailable
+	return n
 }
 
 // MayEndRuns reports whether all runs on a worker may be ended at once: no step has more than
@@ -39,13 +42,7 @@
 		if st.spec.MaxUnavailable == 0 || r.task.done || st.job.final() {
 			continue
 		}
-		unavailable := st.spec.Count
-		for _, o := range st.liveRuns {
-			if o.worker != w && o.task.run == o && s.isAvailable(o) {
-				unavailable--
-			}
-		}
-		if unavailable > st.spec.MaxUnavailable {
+		if s.unavailableWithout(st, func(o *run) bool { return o.worker == w }) > st.spec.MaxUnavailable {
 			return false
 		}
 	}
--- a/entry/sched/model_test.go
+++ b/entry/sched/model_test.go
@@ -582,7 +582,7 @@
 		return
 	}
 	c := m.owner.conn(w.id)
-	leastClock := c.workerClock + m.now.Sub(c.clockAt)*97/100
+	leastClock := c.workerClock + time.Duration(float64(m.now.Sub(c.clockAt))*(1-modelClockDrift))
 	meantFor, sent := c.bootMS, &sentStart{modelStart: order, worker: w.id, sentAt: m.now}
 	m.sentStarts = append(m.sentStarts, sent)
 	execute := func() StartOutcome {
--- a/entry/sched/modelworker_test.go
+++ b/entry/sched/modelworker_test.go
@@ -14,6 +14,8 @@
 	modelLeaseCap = 10 * time.Second
 	// modelSlowestClock is the rate of the slowest worker's clock.
 	modelSlowestClock = 0.98
+	// modelClockDrift is the fraction by which the owner takes a worker's clock to be slow at most.
+	modelClockDrift = 0.03
 	// modelUptime is the least age of the first incarnations. It is longer than modelLeaseCap, so
 	// that an expiry on the clock of one is always beyond the cap on the clock of the next.
 	modelUptime = 50 * time.Second
--- a/entry/upkeep/plan.go
+++ b/entry/upkeep/plan.go
@@ -245,14 +245,22 @@
 	}
 }
 
-// nextForWave advances a wave. A VM is done once a list that was requested after the
-// order's acceptance shows it up again or down, or no longer contains it.
+// isOver reports whether a VM's maintenance is over: a list that was requested after the order's
+// acceptance shows the VM up again or down, or no longer contains it.
+func (v *vmProgress) isOver(vm VM, listed bool, listRequestedAt clock.Mono) bool {
+	if !v.started || v.acceptedAt == 0 || v.acceptedAt >= listRequestedAt {
+		return false
+	}
+	return !listed || vm.state == StateUp || vm.state == StateDown
+}
+
+// nextForWave advances a wave.
 func (p *Plan) nextForWave(w *wave, now clock.Mono, runs RunCounter) []Step {
 	changed := !w.stored
 	waiting, inProgress := 0, 0
 	for name, v := range w.vms {
 		vm, listed := p.vms[name]
-		if v.started && !v.done && v.acceptedAt != 0 && v.acceptedAt < p.listRequestedAt && (!listed || vm.state == StateUp || vm.state == StateDown) {
+		if !v.done && v.isOver(vm, listed, p.listRequestedAt) {
 			v.done, changed = true, true
 		}
 		if listed && vm.state == StateDown && v.mayGiveUpSlot(now) {
