--- a/entry/engine/maintenance_test.go
+++ b/entry/engine/maintenance_test.go
@@ -350,3 +350,57 @@
 		})
 	}
 }
+
+// countingFleet counts the reads of its list, which has no VM.
+type countingFleet struct {
+	Fleet
+	reads chan struct{}
+}
+
+func (f countingFleet) VMs(context.Context) ([]upkeep.VM, error) {
+	f.reads <- struct{}{}
+	return nil, nil
+}
+
+// TestListReadForNewWave guards against a new wave that waits for the next regular read of the list of VMs, and
+// against reads that follow each other without need.
+func TestListReadForNewWave(t *testing.T) {
+	t.Parallel()
+	r := newRestartTerm(t)
+	fleet := countingFleet{reads: make(chan struct{}, 8)}
+	r.engine.cfg.Fleet = fleet
+	r.engine.initMaintenance(r.term, nil)
+	addWave := func(number int64) {
+		r.term.maintenance.plan.AddWave(upkeep.NewWave(number, []string{"m0"}, r.clk.Now(), 1), 0, r.clk.Now())
+		r.clk.Advance(time.Millisecond)
+	}
+	refresh := func() int {
+		r.engine.refreshVMs(r.term)
+		if r.term.maintenance.listing {
+			r.handlePost()
+		}
+		return len(fleet.reads)
+	}
+	addWave(1)
+	got := []int{refresh(), refresh()}
+	addWave(2)
+	got = append(got, refresh(), refresh())
+	r.clk.Advance(vmListInterval)
+	got = append(got, refresh())
+	if diff := cmp.Diff([]int{1, 1, 2, 2, 3}, got); diff != "" {
+		t.Errorf("reads of the list after each step (-want +got):\n%s", diff)
+	}
+}
+
+// TestRecordRevisionsAtStart guards against a new owner whose first write of each wave's record does not take
+// effect, because it does not know the revision that the former owner wrote.
+func TestRecordRevisionsAtStart(t *testing.T) {
+	t.Parallel()
+	const revision = 7
+	r := newRestartTerm(t)
+	key := WavePrefix + "5"
+	r.engine.initMaintenance(r.term, []store.KV{store.NewKV(key, []byte(`{"wave":5}`), revision)})
+	if diff := cmp.Diff(map[string]int64{key: revision}, r.term.maintenance.recordRevisions); diff != "" {
+		t.Errorf("revisions (-want +got):\n%s", diff)
+	}
+}
--- a/entry/sched/available_test.go
+++ b/entry/sched/available_test.go
@@ -181,3 +181,49 @@
 		})
 	}
 }
+
+// TestCopiesCountOnce guards against a stop that is allowed because two runs of another task count as two
+// available tasks.
+func TestCopiesCountOnce(t *testing.T) {
+	t.Parallel()
+	s := newLargeState(t, 4)
+	s.AddJob(newJob(graph.Step{Count: 3, CPUMilli: 1000, Service: true, AllowDuplicates: true, MaxUnavailable: 1, MaxPerWorker: 1}))
+	startAll(s, testNow)
+	s.StartsStored(1)
+	list := func(worker string, index, attempt int) {
+		s.Observe(Report{
+			Worker: worker, BootUnixMS: 1, PolledAt: s.now, Running: []RunStatus{{Task: taskID(0, index), Attempt: attempt, Percent: progressComplete}},
+		})
+	}
+	on := make(map[int]string) // workers of the tasks
+	for _, st := range s.jobs[testJob].occurrences[0] {
+		for _, r := range st.liveRuns {
+			on[r.task.index] = r.worker.spec.ID
+		}
+	}
+	s.SetNow(testNow.Add(time.Second), 11_000)
+	list(on[0], 0, 1)
+	list(on[1], 1, 1)
+	// The worker of task 1 is silent for a while, and the task gets a copy on the fourth worker.
+	s.WorkerUnresponsive(on[1])
+	var second string
+	for _, d := range s.Decide(s.now) {
+		if st, ok := d.(Start); ok && st.Task == taskID(0, 1) {
+			second = st.Worker
+		}
+	}
+	if second == "" {
+		t.Fatal("task 1 gets no copy")
+	}
+	s.StartsStored(2)
+	s.StartAnswered(taskID(0, 1), 2, second, OutcomeStarted)
+	list(second, 1, 2)
+	list(on[1], 1, 1)
+	// Task 2 was never seen at work, so that task 0 must go on.
+	s.SetDrainDeadlines(map[string]clock.Mono{on[0]: s.now})
+	for _, d := range s.Decide(s.now) {
+		if st, ok := d.(Stop); ok && st.Task == taskID(0, 0) {
+			t.Errorf("task 0 is stopped (%s) while task 2 is unavailable", st.Reason)
+		}
+	}
+}
--- a/entry/upkeep/plan_test.go
+++ b/entry/upkeep/plan_test.go
@@ -365,14 +365,14 @@
 			if tt.restored {
 				p.Restore(Record{Number: 1, Started: []string{"m0"}}, testStart.Add(time.Hour), testStart)
 			}
-			var orders []string
+			var orders, begun []string
 			isComplete := false
 			next := func(now clock.Mono, state State, runs RunCounter, accept bool) {
 				p.SetVMs([]VM{NewVM("m0", "w-m0", state), NewVM("m1", "w-m1", StateUp)}, now)
 				for _, s := range p.Next(now, runs) {
 					switch s := s.(type) {
 					case StoreRecord:
-						isComplete = s.Record.Complete
+						isComplete, begun = s.Record.Complete, s.Record.Started
 					case TakeDown:
 						orders = append(orders, s.VM)
 						if accept {
@@ -394,6 +394,9 @@
 			if isComplete {
 				t.Error("the wave is complete while m0 is down")
 			}
+			if len(begun) > 0 {
+				t.Errorf("the record has %q as begun", begun)
+			}
 			for end := now.Add(10 * time.Second); now < end; {
 				now = now.Add(listInterval)
 				next(now, StateDown, drained, true)
